Workspace, base and http packages, inner protocol, shared types

Cause: nothing exists yet; every later part needs the same ids, clock, codes, results, JSON bounds, HTTP server and client, and the same build and checks. Change: CMake workspace with presets (release, asan+ubsan, tsan), format, lint and test scripts, base and http packages, the Thrift file with its generated code, and the headers that packages share (objects, part and outcome, platform calls). Before: nothing. Conclusion: packages can be written apart from each other against these headers.

--- /dev/null
+++ b/packages/base/src/log.cc
@@ -0,0 +1,76 @@
+#include "hibiscuspick/base/log.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/null_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <array>
+#include <string_view>
+
+namespace hibiscuspick {
+namespace {
+
+constexpr std::array<std::string_view, 10> kNames = {
+    "daemon",  "front",     "route",  "limit",    "backend",
+    "members", "placement", "config", "platform", "record"};
+
+constexpr size_t kQueueLines = 8192;
+
+using Loggers = std::array<std::shared_ptr<spdlog::logger>, kNames.size()>;
+
+Loggers MakeSilent() {
+  Loggers loggers;
+  const auto sink = std::make_shared<spdlog::sinks::null_sink_mt>();
+  for (size_t i = 0; i < kNames.size(); ++i) {
+    loggers[i] = std::make_shared<spdlog::logger>(std::string(kNames[i]), sink);
+    loggers[i]->set_level(spdlog::level::off);
+  }
+  return loggers;
+}
+
+Loggers& AllLoggers() {
+  static Loggers loggers = MakeSilent();
+  return loggers;
+}
+
+std::string PatternOf(LogFormat format, const std::string& instance) {
+  if (format == LogFormat::kText) {
+    return "%Y-%m-%dT%H:%M:%S.%eZ " + instance + " %l %n: %v";
+  }
+  return R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","instance":")" + instance +
+         R"(","level":"%l","part":"%n","text":"%v"})";
+}
+
+}  // namespace
+
+std::string_view PartName(Part part) {
+  return kNames[static_cast<size_t>(part)];
+}
+
+void StartLogs(LogFormat format, const std::string& level,
+               const std::string& instance) {
+  spdlog::init_thread_pool(kQueueLines, 1);
+  const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  for (size_t i = 0; i < kNames.size(); ++i) {
+    auto logger = std::make_shared<spdlog::async_logger>(
+        std::string(kNames[i]), sink, spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern(PatternOf(format, instance),
+                        spdlog::pattern_time_type::utc);
+    logger->set_level(spdlog::level::from_str(level));
+    logger->flush_on(spdlog::level::warn);
+    AllLoggers()[i] = std::move(logger);
+  }
+}
+
+void StopLogs() {
+  for (auto& it : AllLoggers()) it->flush();
+  AllLoggers() = MakeSilent();
+  spdlog::shutdown();
+}
+
+spdlog::logger& Log(Part part) {
+  return *AllLoggers()[static_cast<size_t>(part)];
+}
+
+}  // namespace hibiscuspick
--- /dev/null
+++ b/packages/base/tests/base_test.cc
@@ -0,0 +1,86 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+#include "hibiscuspick/base/address.h"
+#include "hibiscuspick/base/code.h"
+#include "hibiscuspick/base/json.h"
+#include "hibiscuspick/base/lane.h"
+
+namespace data = boost::unit_test::data;
+using hibiscuspick::CodeTable;
+using hibiscuspick::IsOk;
+using hibiscuspick::ParseAddress;
+using hibiscuspick::ParseJson;
+
+BOOST_AUTO_TEST_CASE(every_code_has_its_own_number_and_name) {
+  std::set<std::string> names;
+  int last = -1;
+  for (const auto& row : CodeTable()) {
+    BOOST_TEST(static_cast<int>(row.code) > last);
+    last = static_cast<int>(row.code);
+    BOOST_TEST(names.insert(std::string(row.name)).second);
+    BOOST_TEST(!row.meaning.empty());
+  }
+}
+
+struct AddressCase {
+  std::string text;
+  bool good;
+};
+std::ostream& operator<<(std::ostream& out, const AddressCase& it) {
+  return out << it.text;
+}
+
+const AddressCase kAddresses[] = {
+    {"127.0.0.1:8001", true},   {"10.1.2.3:65535", true},
+    {"127.0.0.1", false},       {"127.0.0.1:0", false},
+    {"127.0.0.1:65536", false}, {"localhost:80", false},
+    {"127.0.0.1:80x", false},   {"", false},
+    {"300.0.0.1:80", false},    {"127.0.0.1:-1", false},
+};
+
+BOOST_DATA_TEST_CASE(addresses_are_ip_numbers_with_ports,
+                     data::make(kAddresses), it) {
+  BOOST_TEST(IsOk(ParseAddress(it.text)) == it.good);
+}
+
+struct JsonCase {
+  std::string name;
+  std::string text;
+  bool good;
+};
+std::ostream& operator<<(std::ostream& out, const JsonCase& it) {
+  return out << it.name;
+}
+
+const JsonCase kDocuments[] = {
+    {"object", R"({"a": [1, 2.5, "x"]})", true},
+    {"cut short", R"({"a": [1)", false},
+    {"not UTF-8", "{\"a\": \"\xff\xfe\"}", false},
+    {"deepest allowed", std::string(64, '[') + std::string(64, ']'), true},
+    {"too deep", std::string(65, '[') + std::string(65, ']'), false},
+    {"a hundred thousand deep", std::string(100000, '['), false},
+    {"brackets in a string", "\"" + std::string(1000, '[') + "\"", true},
+    {"comment", "{} // no", false},
+    {"empty", "", false},
+};
+
+BOOST_DATA_TEST_CASE(documents_are_read_within_bounds, data::make(kDocuments),
+                     it) {
+  BOOST_TEST(IsOk(ParseJson(it.text)) == it.good);
+}
+
+BOOST_AUTO_TEST_CASE(comments_are_read_where_allowed) {
+  const auto result =
+      ParseJson("{// why\n\"a\": 1}", hibiscuspick::JsonComments::kAllowed);
+  BOOST_TEST(IsOk(result));
+}
+
+BOOST_AUTO_TEST_CASE(lanes_are_spelled_one_way) {
+  for (const auto it : hibiscuspick::kAllLanes) {
+    BOOST_TEST((hibiscuspick::ParseLane(hibiscuspick::LaneName(it)) == it));
+  }
+  BOOST_TEST(!hibiscuspick::ParseLane("Urgent").has_value());
+}
--- /dev/null
+++ b/packages/http/src/server.cc
@@ -0,0 +1,186 @@
+#include "hibiscuspick/http/server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "hibiscuspick/http/connection_threads.h"
+
+namespace hibiscuspick::http {
+namespace {
+
+// The backlog the library sets is 5; a burst of new connections would lose
+// its first packets and wait a second for the retry.
+constexpr int kBacklog = 1024;
+
+// How often an idle connection looks whether the server is stopping.
+constexpr Millis kIdleSlice{50};
+
+thread_local socket_t current_socket = INVALID_SOCKET;
+
+// Waits for the events until the instant; false if it passed first.
+bool WaitFor(socket_t sock, int16_t events, Millis until) {
+  for (;;) {
+    const Millis left = until - SteadyNow();
+    if (left <= Millis(0)) return false;
+    pollfd entry{sock, events, 0};
+    const int n = poll(&entry, 1, static_cast<int>(left.count) + 1);
+    if (n > 0) return true;
+    if (n < 0 && errno != EINTR) return false;
+  }
+}
+
+void ReadEndpoint(socket_t sock, bool remote, std::string* ip, int* port) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  const int ec =
+      remote ? getpeername(sock, raw, &size) : getsockname(sock, raw, &size);
+  if (ec != 0 || address.sin_family != AF_INET) return;
+  char buf[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address.sin_addr, buf, sizeof(buf));
+  *ip = buf;
+  *port = ntohs(address.sin_port);
+}
+
+// One request's view of a connection. Reading is buffered, since the library
+// asks for a request's head byte by byte.
+class DeadlineStream : public httplib::Stream {
+ public:
+  explicit DeadlineStream(socket_t sock) : sock_(sock) {}
+
+  // Reading stops at this instant; writing may take as long again.
+  void SetDeadline(Millis until, Millis span) {
+    until_ = until;
+    span_ = span;
+  }
+  bool HasBuffered() const { return begin_ < end_; }
+
+  bool is_readable() const override {
+    return HasBuffered() || WaitFor(sock_, POLLIN, until_);
+  }
+  bool is_writable() const override {
+    return WaitFor(sock_, POLLOUT, SteadyNow() + span_);
+  }
+  ssize_t read(char* out, size_t size) override {
+    if (!HasBuffered() && !Fill()) return filled_;
+    const size_t n = std::min(size, end_ - begin_);
+    std::copy_n(buf_ + begin_, n, out);
+    begin_ += n;
+    return static_cast<ssize_t>(n);
+  }
+  ssize_t write(const char* data, size_t size) override {
+    if (!is_writable()) return -1;
+    return ::send(sock_, data, size, MSG_NOSIGNAL);
+  }
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    ReadEndpoint(sock_, true, &ip, &port);
+  }
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    ReadEndpoint(sock_, false, &ip, &port);
+  }
+  socket_t socket() const override { return sock_; }
+
+ private:
+  // Reads what has arrived; false at the end of the stream or at the deadline,
+  // with the result for the library in filled_.
+  bool Fill() {
+    filled_ = -1;
+    if (!WaitFor(sock_, POLLIN, until_)) return false;
+    filled_ = ::recv(sock_, buf_, sizeof(buf_), 0);
+    if (filled_ <= 0) return false;
+    begin_ = 0;
+    end_ = static_cast<size_t>(filled_);
+    return true;
+  }
+
+  const socket_t sock_;
+  Millis until_;
+  Millis span_;
+  char buf_[8192];
+  size_t begin_ = 0;
+  size_t end_ = 0;
+  ssize_t filled_ = 0;
+};
+
+}  // namespace
+
+bool CallerGone() {
+  if (current_socket == INVALID_SOCKET) return false;
+  pollfd entry{current_socket, POLLRDHUP, 0};
+  if (poll(&entry, 1, 0) <= 0) return false;
+  return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+Server::Server(ServerLimits limits) : limits_(limits) {
+  set_tcp_nodelay(true);
+  set_payload_max_length(limits.max_body);
+  set_socket_options([this](socket_t sock) {
+    const int on = 1;
+    setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    listener_ = sock;
+  });
+  new_task_queue = [n = limits.max_connections] {
+    return new ConnectionThreads(n);
+  };
+}
+
+Server::~Server() { Stop(); }
+
+Result<Done> Server::Start(const std::string& ip, uint16_t port) {
+  int bound = port;
+  if (port == 0) {
+    bound = bind_to_any_port(ip);
+  } else if (!bind_to_port(ip, port)) {
+    bound = -1;
+  }
+  if (bound <= 0) {
+    return Error{Code::kConnectFailed, ip + ":" + std::to_string(port),
+                 "the address can't be listened on"};
+  }
+  port_ = static_cast<uint16_t>(bound);
+  ::listen(listener_, kBacklog);
+  thread_ = std::thread([this] { listen_after_bind(); });
+  // Stop before the thread runs would be lost, so wait for it.
+  while (!is_running()) std::this_thread::yield();
+  return Done{};
+}
+
+void Server::Stop() {
+  if (!thread_.joinable()) return;
+  closing_ = true;
+  stopping_ = true;
+  stop();
+  thread_.join();
+}
+
+bool Server::process_and_close_socket(socket_t sock) {
+  DeadlineStream stream(sock);
+  Millis idle_until = SteadyNow() + limits_.idle_timeout;
+  bool open = true;
+  while (open && SteadyNow() < idle_until) {
+    const Millis slice = Min(idle_until, SteadyNow() + kIdleSlice);
+    if (!stream.HasBuffered() && !WaitFor(sock, POLLIN, slice)) {
+      if (stopping_) break;
+      continue;
+    }
+    stream.SetDeadline(SteadyNow() + limits_.request_timeout,
+                       limits_.request_timeout);
+    ++busy_;
+    current_socket = sock;
+    bool closed = false;
+    open = process_request(stream, closing_, closed, nullptr) && !closed;
+    current_socket = INVALID_SOCKET;
+    --busy_;
+    idle_until = SteadyNow() + limits_.idle_timeout;
+  }
+  ::shutdown(sock, SHUT_RDWR);
+  ::close(sock);
+  return true;
+}
+
+}  // namespace hibiscuspick::http
