Settings: the store of configuration objects

Instances learn configuration from the platform and from each other, out of order and twice. The store holds each object in its highest version and one watermark up to which nothing is missing; everything else is derived.

--- /dev/null
+++ b/packages/settings/src/config_store.cc
@@ -0,0 +1,114 @@
+#include "hibiscuspick/settings/config_store.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+#include "hibiscuspick/base/hash.h"
+
+namespace hibiscuspick::settings {
+namespace {
+
+Error WentBack(const std::string& place, std::string message) {
+  return Error{Code::kPlatformWentBack, place, std::move(message)};
+}
+
+void ApplyObject(ConfigStore* store, const ConfigObject& object,
+                 Applied* applied) {
+  auto& known = store->objects[object.name];
+  if (object.version > known.version) {
+    known = object;
+    applied->changed.push_back(object.name);
+    return;
+  }
+  // One version with two contents: the platform's counter was set back and has
+  // given the number again. Keeping ours is as good as taking the other, but
+  // instances would differ for good and nobody would know: so, an alarm.
+  if (object.version == known.version && object.text != known.text) {
+    applied->alarms.push_back(WentBack(
+        object.name, "version " + std::to_string(object.version.value) +
+                         " has two contents"));
+  }
+}
+
+void ApplyObjects(ConfigStore* store, const ConfigDelta& delta,
+                  Applied* applied) {
+  for (const auto& it : delta.objects) {
+    if (it.version.value != 0) ApplyObject(store, it, applied);
+  }
+  applied->gap = store->complete_to < delta.after;
+  if (!applied->gap && delta.complete_to > store->complete_to) {
+    store->complete_to = delta.complete_to;
+    applied->watermark_raised = true;
+  }
+  if (applied->watermark_raised || !applied->changed.empty()) {
+    ++store->generation;
+  }
+}
+
+// Objects of the store that a whole listing lacks or has older, although its
+// revision says that it must know them.
+void FindOlder(const ConfigStore& store, const ConfigDelta& whole,
+               Applied* applied) {
+  std::map<std::string_view, Revision> listed;
+  for (const auto& it : whole.objects) listed[it.name] = it.version;
+  for (const auto& [name, known] : store.objects) {
+    const auto it = listed.find(name);
+    const Revision there = it == listed.end() ? Revision() : it->second;
+    if (there < known.version && known.version <= whole.complete_to) {
+      applied->alarms.push_back(WentBack(
+          name, "in force at version " + std::to_string(known.version.value) +
+                    ", the platform has " + std::to_string(there.value)));
+    }
+  }
+}
+
+}  // namespace
+
+Applied ApplyDelta(ConfigStore* store, const ConfigDelta& delta) {
+  Applied applied;
+  ApplyObjects(store, delta, &applied);
+  return applied;
+}
+
+Applied ApplyFromPlatform(ConfigStore* store, const ConfigDelta& delta,
+                          Revision known) {
+  Applied applied;
+  if (delta.complete_to < known) {
+    applied.alarms.push_back(WentBack(
+        "", "the platform is at revision " +
+                std::to_string(delta.complete_to.value) + ", revision " +
+                std::to_string(known.value) + " is in force"));
+    return applied;
+  }
+  if (delta.after.value == 0) FindOlder(*store, delta, &applied);
+  ApplyObjects(store, delta, &applied);
+  return applied;
+}
+
+ConfigDelta DeltaSince(const ConfigStore& store, Revision after) {
+  ConfigDelta delta{after, store.complete_to, {}};
+  for (const auto& [name, object] : store.objects) {
+    if (object.version > after) delta.objects.push_back(object);
+  }
+  return delta;
+}
+
+uint64_t HashOf(const ConfigStore& store) {
+  uint64_t hash = 0;
+  for (const auto& [name, object] : store.objects) {
+    hash = Hash(name, hash);
+    hash = Hash(std::to_string(object.version.value), hash);
+  }
+  return hash;
+}
+
+size_t SizeOf(const ConfigStore& store) {
+  size_t size = 0;
+  for (const auto& [name, object] : store.objects) {
+    size += name.size() + object.text.size();
+  }
+  return size;
+}
+
+}  // namespace hibiscuspick::settings
