Settings: daemon file, objects, tree of keys, configuration view

Operators' values need one place that says what is allowed and what is in force. The daemon's file and each object are checked whole, with every fault and its JSON path. One table of keys drives checking and resolving of the tree, and caps what a customer, service or route may take. What would make an answer untrue (an index version that falls or changes its meaning, a server counted for two services) is refused at the write; what only makes it smaller is warned of.

--- a/packages/settings/include/hibiscuspick/settings/objects.h
+++ b/packages/settings/include/hibiscuspick/settings/objects.h
@@ -60,4 +60,10 @@
   std::vector<SnapshotShard> shards;
 };
 
+// An operator's order that a backend server gets no new work.
+struct Drain {
+  BackendServerId server;
+  std::string reason;
+};
+
 }  // namespace hibiscuspick::settings
--- /dev/null
+++ b/packages/settings/src/daemon_settings.cc
@@ -0,0 +1,140 @@
+#include "hibiscuspick/settings/daemon_settings.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/base/json.h"
+#include "hibiscuspick/settings/json_reader.h"
+
+namespace hibiscuspick::settings {
+namespace {
+
+constexpr int64_t kHour = 3600 * 1000;
+
+const std::vector<std::string_view> kLevels = {"trace", "debug", "info",
+                                               "warn",  "error", "off"};
+const std::vector<std::string_view> kFormats = {"text", "json"};
+
+// An optional object below the root; a missing one reads as empty.
+const Json& Section(JsonReader* reader, const std::string& key) {
+  static const Json empty = Json::object();
+  const Json* field = reader->Find(key);
+  return field ? *field : empty;
+}
+
+std::string ReadSecret(JsonReader* reader, const std::string& key,
+                       const EnvironmentLookup& environment) {
+  const std::string env_key = key + "_env";
+  const bool named = reader->Has(env_key);
+  std::string secret = reader->Text(key, "");
+  const std::string variable = reader->Text(env_key, "");
+  if (reader->Has(key) && named) {
+    reader->Add(env_key, "stands beside " + key + "; give one of the two");
+    return secret;
+  }
+  if (named) secret = environment(variable).value_or("");
+  if (secret.empty()) {
+    reader->Add(
+        named ? env_key : key,
+        named ? "the environment variable " + variable + " is not set or empty"
+              : "is missing or empty");
+  }
+  return secret;
+}
+
+Millis ReadMillis(JsonReader* reader, const std::string& key,
+                  IntegerRange range, Millis fallback) {
+  const auto whole = static_cast<int64_t>(fallback.count);
+  return Millis(static_cast<double>(reader->Integer(key, range, whole)));
+}
+
+int ReadInt(JsonReader* reader, const std::string& key, IntegerRange range,
+            int fallback) {
+  return static_cast<int>(reader->Integer(key, range, fallback));
+}
+
+void ReadListen(JsonReader* root, DaemonSettings* out,
+                std::vector<Fault>* faults) {
+  JsonReader reader(Section(root, "listen"), "$.listen", faults);
+  out->callers = reader.IpAddress("callers");
+  out->operators = reader.IpAddress("operators");
+  out->inner = reader.IpAddress("inner");
+  reader.RefuseUnknown();
+  if (out->callers.port == 0) return;
+  if (out->callers == out->operators || out->callers == out->inner ||
+      out->operators == out->inner) {
+    faults->push_back(
+        {Code::kInvalidValue, "$.listen", "the three addresses must differ"});
+  }
+}
+
+void ReadLog(JsonReader* root, DaemonSettings* out,
+             std::vector<Fault>* faults) {
+  constexpr size_t kInfo = 2;
+  JsonReader reader(Section(root, "log"), "$.log", faults);
+  out->log_level = kLevels[reader.Choice("level", kLevels, kInfo)];
+  out->log_format = reader.Choice("format", kFormats, 0) == 0
+                        ? LogFormat::kText
+                        : LogFormat::kJson;
+  reader.RefuseUnknown();
+}
+
+void ReadTraffic(JsonReader* root, DaemonSettings* out,
+                 std::vector<Fault>* faults) {
+  JsonReader reader(Section(root, "traffic"), "$.traffic", faults);
+  out->traffic_threads =
+      ReadInt(&reader, "threads", {1, 64}, out->traffic_threads);
+  out->max_caller_connections =
+      ReadInt(&reader, "max_caller_connections", {1, 65536},
+              out->max_caller_connections);
+  out->max_operator_connections =
+      ReadInt(&reader, "max_operator_connections", {1, 1024},
+              out->max_operator_connections);
+  reader.RefuseUnknown();
+}
+
+void ReadPlatformCalls(JsonReader* root, DaemonSettings* out,
+                       std::vector<Fault>* faults) {
+  JsonReader reader(Section(root, "platform_calls"), "$.platform_calls",
+                    faults);
+  out->platform_calls_per_second = ReadInt(&reader, "per_second", {1, 10000},
+                                           out->platform_calls_per_second);
+  out->platform_call_burst =
+      ReadInt(&reader, "burst", {1, 10000}, out->platform_call_burst);
+  out->platform_timeout =
+      ReadMillis(&reader, "timeout_ms", {50, 60000}, out->platform_timeout);
+  out->platform_watch =
+      ReadMillis(&reader, "watch_ms", {100, 60000}, out->platform_watch);
+  reader.RefuseUnknown();
+}
+
+}  // namespace
+
+Checked<DaemonSettings> ReadDaemonSettings(
+    std::string_view text, const EnvironmentLookup& environment) {
+  const auto parsed = ParseJson(text, JsonComments::kAllowed);
+  if (!IsOk(parsed)) return std::vector<Fault>{ErrorOf(parsed)};
+  std::vector<Fault> faults;
+  DaemonSettings out;
+  JsonReader reader(ValueOf(parsed), "$", &faults);
+  out.instance = InstanceId(reader.NameText("instance"));
+  out.data_centre = DataCentreId(reader.NameText("data_centre"));
+  out.region = reader.NameText("region", "");
+  ReadListen(&reader, &out, &faults);
+  out.platform = reader.IpAddress("platform");
+  out.operator_token = ReadSecret(&reader, "operator_token", environment);
+  out.inner_key = ReadSecret(&reader, "inner_key", environment);
+  ReadLog(&reader, &out, &faults);
+  out.balancer_lag =
+      ReadMillis(&reader, "balancer_lag_ms", {0, kHour}, out.balancer_lag);
+  out.stop_timeout =
+      ReadMillis(&reader, "stop_timeout_ms", {0, kHour}, out.stop_timeout);
+  ReadTraffic(&reader, &out, &faults);
+  ReadPlatformCalls(&reader, &out, &faults);
+  reader.RefuseUnknown();
+  if (!faults.empty()) return faults;
+  return out;
+}
+
+}  // namespace hibiscuspick::settings
--- /dev/null
+++ b/packages/settings/src/settings_keys.cc
@@ -0,0 +1,152 @@
+#include "hibiscuspick/settings/settings_keys.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hibiscuspick::settings {
+namespace {
+
+constexpr unsigned Bit(Level level) {
+  return 1U << static_cast<unsigned>(level);
+}
+
+constexpr unsigned kTop = Bit(Level::kSystem) | Bit(Level::kDataCentre);
+constexpr unsigned kPerCustomer = kTop | Bit(Level::kCustomer);
+constexpr unsigned kPerService = kTop | Bit(Level::kService);
+constexpr unsigned kPerRoute = kTop | Bit(Level::kRoute);
+constexpr unsigned kPerRequest = kPerCustomer | Bit(Level::kRoute);
+constexpr unsigned kEverywhere = kPerRequest | Bit(Level::kService);
+
+constexpr double kHourMs = 3600.0 * 1000;
+constexpr double kDayMs = 24 * kHourMs;
+
+constexpr bool kCapped = true;
+constexpr bool kFree = false;
+
+using enum Key;
+using enum KeyType;
+
+constexpr std::array<KeyRow, kKeyCount> kTable = {{
+    {kDeadlineMs, "deadline_ms", kMillis, 200, 1, 60000, kPerRequest, kFree,
+     "The time for a whole answer when the request names none."},
+    {kMaxDeadlineMs, "max_deadline_ms", kMillis, 10000, 1, 600000, kPerRequest,
+     kCapped, "The longest deadline a request may ask for."},
+    {kLimit, "limit", kInteger, 20, 1, 10000, kPerRequest, kFree,
+     "The number of hits when the request names none."},
+    {kMaxLimit, "max_limit", kInteger, 1000, 1, 10000, kPerRequest, kCapped,
+     "The highest number of hits a request may ask for."},
+    {kMinCoverage, "min_coverage", kFraction, 0.9, 0, 1, kPerRequest, kFree,
+     "The share of documents from which an answer counts as enough."},
+    {kMaxBodyBytes, "max_body_bytes", kInteger, 1 << 20, 1024, 64 << 20,
+     kPerRequest, kCapped, "The largest body of a request, in bytes."},
+    {kRestartOnNewSnapshot, "restart_on_new_snapshot", kFlag, 1, 0, 1,
+     kPerRequest, kFree,
+     "Whether a query whose pinned snapshot is dropped by its backend servers "
+     "starts again on the newer one."},
+    {kSendingPolicy, "sending_policy", kChoice, 0, 0, 1, kPerService, kFree,
+     "Whether work goes to a backend server through its owner instance or "
+     "directly from each instance."},
+    {kOwnerTimeoutMs, "owner_timeout_ms", kMillis, 30, 1, 60000, kPerService,
+     kFree,
+     "How long an owner may be silent about a query's part before the next "
+     "instance is asked."},
+    {kHedgeEnabled, "hedge_enabled", kFlag, 1, 0, 1, kEverywhere, kFree,
+     "Whether a slow attempt is doubled at another backend server."},
+    {kHedgeQuantile, "hedge_quantile", kFraction, 0.95, 0.5, 0.9999,
+     kPerService, kFree,
+     "The quantile of recent latency after which an attempt counts as slow."},
+    {kHedgeMinMs, "hedge_min_ms", kMillis, 2, 0, 60000, kPerService, kFree,
+     "The shortest time before a hedge."},
+    {kHedgeBudget, "hedge_budget", kFraction, 0.05, 0, 1, kPerService, kCapped,
+     "Hedges as a share of first attempts."},
+    {kRetryBudget, "retry_budget", kFraction, 0.05, 0, 1, kPerService, kCapped,
+     "Retries as a share of first attempts."},
+    {kLanesEnabled, "lanes_enabled", kFlag, 1, 0, 1, kPerService, kFree,
+     "Whether waiting work is ordered by lane; if not, first come first "
+     "served."},
+    {kSlotsEnabled, "slots_enabled", kFlag, 1, 0, 1, kPerService, kFree,
+     "Whether an owner counts a backend server's slots and sends no more than "
+     "they take."},
+    {kLaneMinimumUrgent, "lane_minimum_urgent", kFraction, 0, 0, 1, kPerService,
+     kFree, "The urgent lane's guaranteed share of slots."},
+    {kLaneMinimumInteractive, "lane_minimum_interactive", kFraction, 0.1, 0, 1,
+     kPerService, kFree, "The interactive lane's guaranteed share of slots."},
+    {kLaneMinimumOrdinary, "lane_minimum_ordinary", kFraction, 0.05, 0, 1,
+     kPerService, kFree, "The ordinary lane's guaranteed share of slots."},
+    {kLaneMinimumBulk, "lane_minimum_bulk", kFraction, 0.02, 0, 1, kPerService,
+     kFree, "The bulk lane's guaranteed share of slots."},
+    {kQueueLimitUrgent, "queue_limit_urgent", kInteger, 256, 1, 100000,
+     kPerService, kFree, "Urgent tasks that may wait for one service."},
+    {kQueueLimitInteractive, "queue_limit_interactive", kInteger, 256, 1,
+     100000, kPerService, kFree,
+     "Interactive tasks that may wait for one service."},
+    {kQueueLimitOrdinary, "queue_limit_ordinary", kInteger, 128, 1, 100000,
+     kPerService, kFree, "Ordinary tasks that may wait for one service."},
+    {kQueueLimitBulk, "queue_limit_bulk", kInteger, 64, 1, 100000, kPerService,
+     kFree, "Bulk tasks that may wait for one service."},
+    {kCustomerRateLimit, "customer_rate_limit", kInteger, 1000, 0, 1000000,
+     kPerCustomer, kFree,
+     "Requests a second that one customer may send to one instance; 0 lets "
+     "none in."},
+    {kCustomerConcurrencyLimit, "customer_concurrency_limit", kInteger, 256, 0,
+     100000, kPerCustomer, kFree,
+     "Requests of one customer that one instance works on at once; 0 lets none "
+     "in."},
+    {kEjectFailures, "eject_failures", kInteger, 5, 1, 1000, kPerService, kFree,
+     "Failures in a row after which a backend server is ejected."},
+    {kEjectShareCap, "eject_share_cap", kFraction, 0.5, 0, 1, kPerService,
+     kFree,
+     "The largest share of a service's backend servers that may be ejected "
+     "at once."},
+    {kEjectMs, "eject_ms", kMillis, 5000, 100, kHourMs, kPerService, kFree,
+     "How long a first ejection lasts."},
+    {kSlowStartMs, "slow_start_ms", kMillis, 10000, 0, kHourMs, kPerService,
+     kFree,
+     "How long a new or returned backend server takes to reach its full "
+     "share."},
+    {kConnectTimeoutMs, "connect_timeout_ms", kMillis, 100, 1, 60000,
+     kPerService, kFree, "The time for one new connection."},
+    {kRecordWindowMs, "record_window_ms", kMillis, kDayMs, 60000, 30 * kDayMs,
+     kTop, kFree, "How long a record's key is remembered."},
+}};
+
+constexpr bool RowsAreInOrder() {
+  for (size_t i = 0; i < kKeyCount; ++i) {
+    if (kTable[i].key != static_cast<Key>(i)) return false;
+  }
+  return true;
+}
+static_assert(RowsAreInOrder());
+
+constexpr std::array<std::string_view, 6> kLevelNames = {
+    "default", "system", "data_centre", "customer", "service", "route"};
+
+constexpr std::array<std::string_view, 2> kSendingPolicies = {"owner",
+                                                              "direct"};
+
+}  // namespace
+
+std::string_view LevelName(Level level) {
+  return kLevelNames[static_cast<size_t>(level)];
+}
+
+std::span<const KeyRow> KeyTable() { return kTable; }
+
+const KeyRow& RowOf(Key key) { return kTable[static_cast<size_t>(key)]; }
+
+const KeyRow* FindRow(std::string_view name) {
+  const auto it = std::find_if(kTable.begin(), kTable.end(),
+                               [&](auto& row) { return row.name == name; });
+  return it == kTable.end() ? nullptr : &*it;
+}
+
+std::span<const std::string_view> ChoicesOf(Key key) {
+  if (key == Key::kSendingPolicy) return kSendingPolicies;
+  return {};
+}
+
+bool MayStandAt(const KeyRow& row, Level level) {
+  return (row.levels & Bit(level)) != 0;
+}
+
+}  // namespace hibiscuspick::settings
--- /dev/null
+++ b/packages/settings/tests/config_store_test.cc
@@ -0,0 +1,158 @@
+#include "hibiscuspick/settings/config_store.h"
+
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "hibiscuspick/base/random.h"
+
+namespace data = boost::unit_test::data;
+namespace hp = hibiscuspick;
+namespace hps = hibiscuspick::settings;
+using hp::Revision;
+using hps::ConfigDelta;
+using hps::ConfigStore;
+
+namespace {
+
+hps::ConfigObject Object(const std::string& name, uint64_t version,
+                         const std::string& text = "v") {
+  return {name, Revision(version), text};
+}
+
+ConfigStore StoreWith(Revision complete_to,
+                      const std::vector<hps::ConfigObject>& objects) {
+  ConfigStore store;
+  ApplyDelta(&store, {Revision(), complete_to, objects});
+  return store;
+}
+
+}  // namespace
+
+// Messages between instances arrive out of order, late and twice. Whatever the
+// order, an instance must end with the newest of each object, or an operator's
+// accepted change would be undone somewhere.
+BOOST_DATA_TEST_CASE(any_order_ends_in_the_same_store, data::xrange(50), seed) {
+  hp::Random random(static_cast<uint64_t>(seed));
+  std::vector<ConfigDelta> deltas;
+  for (uint64_t i = 1; i <= 30; ++i) {
+    const std::string name = "services/s" + std::to_string(random.Below(4));
+    deltas.push_back({Revision(i - 1),
+                      Revision(i),
+                      {Object(name, i, "text " + std::to_string(i))}});
+  }
+  ConfigStore in_order;
+  for (const auto& it : deltas) ApplyDelta(&in_order, it);
+  ConfigStore shuffled;
+  for (int i = 0; i < 200; ++i) {
+    ApplyDelta(&shuffled, deltas[random.Below(deltas.size())]);
+  }
+  for (const auto& it : deltas) ApplyDelta(&shuffled, it);
+  BOOST_TEST(HashOf(shuffled) == HashOf(in_order));
+  BOOST_TEST((shuffled.objects == in_order.objects));
+  BOOST_TEST(shuffled.complete_to.value == 30);
+}
+
+// A message is lost between two instances. The next one must not make the
+// receiver believe that it has everything, or it would never ask again for
+// what it missed and serve old settings for ever.
+BOOST_AUTO_TEST_CASE(a_gap_does_not_raise_the_watermark) {
+  auto store = StoreWith(Revision(10), {Object("routes/a", 3)});
+  const auto applied = ApplyDelta(
+      &store, {Revision(12), Revision(15), {Object("routes/b", 14)}});
+  BOOST_TEST(applied.gap);
+  BOOST_TEST(store.complete_to.value == 10);
+  BOOST_TEST(store.objects.contains("routes/b"));
+  const auto repair = DeltaSince(
+      StoreWith(Revision(15), {Object("routes/c", 11), Object("routes/b", 14)}),
+      store.complete_to);
+  BOOST_TEST(!ApplyDelta(&store, repair).gap);
+  BOOST_TEST(store.complete_to.value == 15);
+  BOOST_TEST(store.objects.contains("routes/c"));
+}
+
+// An object is deleted while a peer is cut off. When the peer comes back with
+// the old value, the object must stay deleted.
+BOOST_AUTO_TEST_CASE(a_deleted_object_does_not_come_back) {
+  const auto stale = StoreWith(Revision(5), {Object("services/s", 5)});
+  auto store = StoreWith(Revision(9), {Object("services/s", 9, "deleted")});
+  const auto applied = ApplyDelta(&store, DeltaSince(stale, Revision()));
+  BOOST_TEST(applied.changed.empty());
+  BOOST_TEST(applied.alarms.empty());
+  BOOST_TEST(store.objects["services/s"].text == "deleted");
+}
+
+// The platform is restored from a backup of an hour ago. Its old values must
+// not replace what operators were told is in force; they are alarmed instead.
+BOOST_AUTO_TEST_CASE(a_restored_platform_is_refused_and_alarmed) {
+  auto store = StoreWith(Revision(20), {Object("settings/system", 18, "new")});
+  const auto before = HashOf(store);
+  const ConfigDelta old{
+      Revision(),
+      Revision(12),
+      {Object("settings/system", 7, "old"), Object("routes/r", 12, "old")}};
+  const auto applied = ApplyFromPlatform(&store, old, store.complete_to);
+  BOOST_REQUIRE(applied.alarms.size() == 1);
+  BOOST_TEST((applied.alarms[0].code == hp::Code::kPlatformWentBack));
+  BOOST_TEST(HashOf(store) == before);
+}
+
+// After a restore the platform's counter grows past the old one, so that its
+// revision alone looks right. The whole comparison still finds the objects that
+// are older there, or gone, and keeps what is in force.
+BOOST_AUTO_TEST_CASE(
+    a_restored_platform_that_went_on_is_found_object_by_object) {
+  auto store = StoreWith(Revision(20),
+                         {Object("settings/system", 18, "new"),
+                          Object("routes/gone", 19), Object("routes/same", 4)});
+  const auto applied =
+      ApplyFromPlatform(&store,
+                        {Revision(),
+                         Revision(25),
+                         {Object("settings/system", 7, "old"),
+                          Object("routes/same", 4), Object("routes/new", 22)}},
+                        store.complete_to);
+  BOOST_REQUIRE(applied.alarms.size() == 2);
+  BOOST_TEST(applied.alarms[0].place == "routes/gone");
+  BOOST_TEST(applied.alarms[1].place == "settings/system");
+  BOOST_TEST(store.objects["settings/system"].text == "new");
+  BOOST_TEST(store.objects["routes/new"].version.value == 22);
+}
+
+// A watch answers slowly, and meanwhile a peer has told the news. The late
+// answer is older than what is known by now, but nothing was restored: an
+// alarm would wake someone for nothing.
+BOOST_AUTO_TEST_CASE(a_slow_answer_is_no_restore) {
+  auto store = StoreWith(Revision(10), {});
+  const Revision known = store.complete_to;
+  ApplyDelta(&store, {Revision(10), Revision(14), {Object("routes/a", 14)}});
+  const auto applied = ApplyFromPlatform(
+      &store, {Revision(10), Revision(12), {Object("routes/a", 12)}}, known);
+  BOOST_TEST(applied.alarms.empty());
+  BOOST_TEST(store.objects["routes/a"].version.value == 14);
+  BOOST_TEST(store.complete_to.value == 14);
+}
+
+// One version with two contents means that the platform's counter was set back
+// and gave a number twice. Two instances would differ for good.
+BOOST_AUTO_TEST_CASE(one_version_with_two_contents_is_alarmed) {
+  auto store = StoreWith(Revision(5), {Object("routes/a", 5, "one")});
+  const auto applied = ApplyDelta(
+      &store, {Revision(), Revision(5), {Object("routes/a", 5, "two")}});
+  BOOST_REQUIRE(applied.alarms.size() == 1);
+  BOOST_TEST(applied.alarms[0].place == "routes/a");
+  BOOST_TEST(store.objects["routes/a"].text == "one");
+}
+
+// An accepted write is applied before the platform's watch tells of it; other
+// changes before it may still be unknown, so the watermark stays.
+BOOST_AUTO_TEST_CASE(an_accepted_write_leaves_the_watermark) {
+  auto store = StoreWith(Revision(5), {});
+  const auto generation = store.generation;
+  const auto applied = ApplyDelta(&store, {{}, {}, {Object("routes/a", 9)}});
+  BOOST_TEST(applied.changed.size() == 1);
+  BOOST_TEST(store.complete_to.value == 5);
+  BOOST_TEST(store.generation > generation);
+}
--- /dev/null
+++ b/packages/settings/tests/configuration_test.cc
@@ -0,0 +1,191 @@
+#include "hibiscuspick/settings/configuration.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "hibiscuspick/settings/cross_check.h"
+#include "hibiscuspick/settings/envelope.h"
+
+namespace hp = hibiscuspick;
+namespace hps = hibiscuspick::settings;
+using hp::Json;
+using hp::Revision;
+
+namespace {
+
+// Writes objects as an operator's instance would, without a platform.
+struct Bench {
+  hps::ConfigStore store;
+  uint64_t version = 0;
+
+  std::optional<hps::Envelope> Present(const std::string& name) const {
+    const auto it = store.objects.find(name);
+    if (it == store.objects.end()) return std::nullopt;
+    return ValueOf(hps::ReadEnvelopeText(it->second.text));
+  }
+  void Put(const std::string& name, Json value) {
+    const auto it = store.objects.find(name);
+    const Revision last =
+        it == store.objects.end() ? Revision() : it->second.version;
+    const auto next =
+        NextEnvelope(Present(name), last, std::move(value),
+                     "w" + std::to_string(++version), name[1] == 'n');
+    ApplyDelta(&store,
+               {Revision(version - 1),
+                Revision(version),
+                {{name, Revision(version), hp::DumpJson(ToJson(next))}}});
+  }
+  hps::CheckedWrite Check(const std::string& name, const Json& value) const {
+    const auto present = Present(name);
+    return CheckWrite(*BuildConfiguration(store), *hps::ParseObjectName(name),
+                      value, present ? &*present : nullptr);
+  }
+};
+
+Json Service(const std::string& server, int port) {
+  return {{"backend_servers",
+           {{{"id", server},
+             {"address", "127.0.0.1:" + std::to_string(port)},
+             {"data_centre", "osl-1"}}}}};
+}
+
+Json Manifest(int index_version, int documents = 10,
+              const std::string& service = "s",
+              const std::string& shard = "p") {
+  return {
+      {"id", "m" + std::to_string(index_version)},
+      {"index_version", index_version},
+      {"shards",
+       {{{"shard", shard}, {"service", service}, {"documents", documents}}}}};
+}
+
+const hp::SnapshotName kName("n");
+
+}  // namespace
+
+// Backend servers drop an old index only some time after the new one is
+// announced. An instance that starts in between must still be able to pin it.
+BOOST_AUTO_TEST_CASE(the_last_two_manifests_stay_pinnable) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  for (int i = 1; i <= 4; ++i) bench.Put("snapshots/n", Manifest(i));
+  const auto view = hps::BuildConfiguration(bench.store);
+  BOOST_TEST(hps::NewestManifest(*view, kName)->index_version.value == 4);
+  BOOST_TEST(hps::FindManifest(*view, kName, hp::IndexVersion(3)));
+  BOOST_TEST(
+      hps::FindManifest(*view, kName, hp::IndexVersion(2))->revision.value ==
+      3);
+  BOOST_TEST(!hps::FindManifest(*view, kName, hp::IndexVersion(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_manifest_written_again_is_kept_once) {
+  Bench bench;
+  bench.Put("snapshots/n", Manifest(1));
+  bench.Put("snapshots/n", Manifest(2));
+  bench.Put("snapshots/n", Manifest(2));
+  const auto view = hps::BuildConfiguration(bench.store);
+  BOOST_TEST(view->snapshots.at(kName).size() == 2);
+}
+
+// An operator publishes a snapshot again with an older or the same number but
+// other shards. Answers gathered under that number would mix two versions.
+BOOST_AUTO_TEST_CASE(an_index_version_never_falls_or_changes_its_meaning) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  bench.Put("snapshots/n", Manifest(5));
+  BOOST_TEST(bench.Check("snapshots/n", Manifest(6)).faults.empty());
+  BOOST_TEST(bench.Check("snapshots/n", Manifest(5)).faults.empty());
+  for (const Json& value :
+       {Manifest(4), Manifest(5, 11), Manifest(5, 10, "s", "q")}) {
+    const auto checked = bench.Check("snapshots/n", value);
+    BOOST_REQUIRE(checked.faults.size() == 1);
+    BOOST_TEST(checked.faults[0].place == "$.index_version");
+  }
+  // Nor by way of deleting it first.
+  bench.Put("snapshots/n", nullptr);
+  BOOST_TEST(hps::BuildConfiguration(bench.store)->snapshots.empty());
+  BOOST_TEST(bench.Check("snapshots/n", Manifest(4)).faults.size() == 1);
+  BOOST_TEST(bench.Check("snapshots/n", Manifest(6)).faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_manifest_may_only_name_servers_that_are_there) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  Json wrong = Manifest(1);
+  wrong["shards"][0]["backend_servers"] = {"b1", "b9"};
+  const auto checked = bench.Check("snapshots/n", wrong);
+  BOOST_REQUIRE(checked.faults.size() == 1);
+  BOOST_TEST(checked.faults[0].place == "$.shards[0].backend_servers[1]");
+  BOOST_TEST(bench.Check("snapshots/n", Manifest(1, 10, "zz")).faults.size() ==
+             1);
+}
+
+// Two services with one backend server would each count its slots as their
+// own and overrun it.
+BOOST_AUTO_TEST_CASE(a_backend_server_belongs_to_one_service) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  BOOST_TEST(bench.Check("services/t", Service("b1", 9102)).faults.size() == 1);
+  BOOST_TEST(bench.Check("services/t", Service("b2", 9101)).faults.size() == 1);
+  BOOST_TEST(bench.Check("services/t", Service("b2", 9102)).faults.empty());
+  BOOST_TEST(bench.Check("services/s", Service("b1", 9103)).faults.empty());
+  // Two racing writes may both get through; then it is at least said.
+  bench.Put("services/t", Service("b1", 9101));
+  BOOST_TEST(!hps::BuildConfiguration(bench.store)->warnings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_only_makes_answers_smaller_is_a_warning) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  bench.Put("snapshots/n", Manifest(1));
+  const auto route = bench.Check("routes/r", {{"snapshot", "none"}});
+  BOOST_TEST(route.faults.empty());
+  BOOST_TEST(route.warnings.size() == 1);
+  const auto view = hps::BuildConfiguration(bench.store);
+  const auto warnings =
+      WarningsOfDeletion(*view, *hps::ParseObjectName("services/s"));
+  BOOST_REQUIRE(warnings.size() == 1);
+  BOOST_TEST(warnings[0].place == "snapshots/n $.shards[0].service");
+}
+
+// A newer release writes an object that this one can't read. Dropping it would
+// take a service out of every answer; the last readable value goes on.
+BOOST_AUTO_TEST_CASE(an_unreadable_object_keeps_its_last_value) {
+  Bench bench;
+  bench.Put("services/s", Service("b1", 9101));
+  bench.Put("settings/system", {{"deadline_ms", 77}});
+  bench.Put("snapshots/n", Manifest(1));
+  bench.Put("routes/r", {{"snapshot", "n"}});
+  const auto last = hps::BuildConfiguration(bench.store);
+  BOOST_TEST(last->warnings.empty());
+  for (const std::string name :
+       {"services/s", "settings/system", "snapshots/n", "routes/r"}) {
+    bench.Put(name, {{"from", "the future"}});
+  }
+  const auto view = hps::BuildConfiguration(bench.store, last.get());
+  BOOST_TEST(view->services.size() == 1);
+  BOOST_TEST(view->routes.size() == 1);
+  BOOST_TEST(hps::NewestManifest(*view, kName) ==
+             hps::NewestManifest(*last, kName));
+  BOOST_TEST(Resolve(view->settings, {}, hps::Key::kDeadlineMs).number == 77);
+  BOOST_TEST(view->warnings.size() > 4);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_last_write_ids_are_kept) {
+  std::optional<hps::Envelope> envelope;
+  for (uint64_t i = 1; i <= 10; ++i) {
+    envelope = NextEnvelope(envelope, Revision(i - 1), Json::object(),
+                            "w" + std::to_string(i), false);
+    envelope = ValueOf(hps::ReadEnvelope(ToJson(*envelope)));
+  }
+  BOOST_TEST(envelope->writes.size() == hps::kKeptWriteIds);
+  BOOST_TEST(envelope->writes.front().id == "w3");
+  BOOST_TEST(envelope->writes.front().version.value == 3);
+  BOOST_TEST(envelope->writes.back().version.value == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_age_is_never_negative) {
+  BOOST_TEST(hps::AgeOf({hp::Millis(100), true}, hp::Millis(350)).count == 250);
+  BOOST_TEST(hps::AgeOf({hp::Millis(100), true}, hp::Millis(50)).count == 0);
+}
