Platform: calls over HTTP, settled writes, watching, call budget

A reply of the platform can be lost after the write took effect, so each configuration object carries the ids of its last eight writes and a write without an answer is read back, or sent again on the same condition, until it is known or said to be unknown. A watching instance rests with jitter after failures and after answers from a restored platform.

--- a/packages/platform/include/hibiscuspick/platform/calls.h
+++ b/packages/platform/include/hibiscuspick/platform/calls.h
@@ -66,6 +66,10 @@
       put;
 
   std::function<Result<std::vector<ListedInstance>>()> instances;
+
+  // Ends all running calls of this object at once and refuses later ones, for
+  // a stop that must not wait for a watch. May be empty in fakes.
+  std::function<void()> close;
 };
 
 // The kinds in use.
--- /dev/null
+++ b/packages/platform/src/call_budget.cc
@@ -0,0 +1,76 @@
+#include "hibiscuspick/platform/call_budget.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace hibiscuspick::platform {
+namespace {
+
+// The budget of one Calls object and what guards it.
+struct Gate {
+  std::mutex mutex;
+  CallBudget budget;
+  std::function<Millis()> clock;
+
+  bool Take() {
+    const std::lock_guard lock(mutex);
+    return TakeCall(&budget, clock());
+  }
+};
+
+// Wraps one call so that it is made only if the gate lets it.
+template <class R, class... Args>
+std::function<Result<R>(Args...)> Guard(
+    const std::shared_ptr<Gate>& gate, std::function<Result<R>(Args...)> call) {
+  return [gate, call = std::move(call)](Args... args) -> Result<R> {
+    if (gate->Take()) return call(std::forward<Args>(args)...);
+    return Error{Code::kPlatformUnavailable, "",
+                 "this instance's call budget is used up"};
+  };
+}
+
+}  // namespace
+
+CallBudget MakeCallBudget(double per_second, double burst, Millis now) {
+  return {per_second, burst, burst, now};
+}
+
+bool TakeCall(CallBudget* budget, Millis now) {
+  constexpr double kMillisPerSecond = 1000;
+  if (now > budget->filled_at) {
+    const double seconds = (now - budget->filled_at).count / kMillisPerSecond;
+    budget->tokens =
+        std::min(budget->burst, budget->tokens + seconds * budget->per_second);
+    budget->filled_at = now;
+  }
+  if (budget->tokens < 1) return false;
+  budget->tokens -= 1;
+  return true;
+}
+
+Millis BackoffAfter(int failures, BackoffLimits limits, Random* random) {
+  // Beyond this the bound is reached and the power would only overflow.
+  constexpr int kMostDoublings = 30;
+  const int doublings = std::clamp(failures - 1, 0, kMostDoublings);
+  const Millis bound = Min(limits.most, limits.least * std::exp2(doublings));
+  return bound * random->Fraction();
+}
+
+Calls LimitCalls(Calls calls, CallBudget budget,
+                 std::function<Millis()> clock) {
+  auto gate = std::make_shared<Gate>();
+  gate->budget = budget;
+  gate->clock = std::move(clock);
+  calls.get = Guard(gate, std::move(calls.get));
+  calls.list = Guard(gate, std::move(calls.list));
+  calls.watch = Guard(gate, std::move(calls.watch));
+  calls.put = Guard(gate, std::move(calls.put));
+  calls.instances = Guard(gate, std::move(calls.instances));
+  return calls;
+}
+
+}  // namespace hibiscuspick::platform
--- /dev/null
+++ b/packages/platform/src/watch_loop.cc
@@ -0,0 +1,93 @@
+#include "hibiscuspick/platform/watch_loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hibiscuspick::platform {
+
+settings::ConfigDelta ToDelta(Revision after, const Changes& changes) {
+  settings::ConfigDelta delta{after, changes.complete_to, {}};
+  for (const auto& it : changes.objects) {
+    delta.objects.push_back({it.name, it.version, DumpJson(it.value)});
+  }
+  return delta;
+}
+
+WatchLoop::WatchLoop(Calls calls, WatchOptions options, uint64_t seed,
+                     Known known, Sink sink)
+    : calls_(std::move(calls)),
+      options_(options),
+      known_(std::move(known)),
+      sink_(std::move(sink)),
+      random_(seed) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+WatchLoop::~WatchLoop() { Stop(); }
+
+void WatchLoop::SetWatching(bool watching) {
+  const std::lock_guard lock(mutex_);
+  platform::SetWatching(&state_, watching, options_, SteadyNow(), &random_);
+  wake_.notify_all();
+}
+
+void WatchLoop::WantWhole() {
+  const std::lock_guard lock(mutex_);
+  state_.whole_wanted = true;
+  wake_.notify_all();
+}
+
+void WatchLoop::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  if (calls_.close) calls_.close();
+  if (thread_.joinable()) thread_.join();
+}
+
+void WatchLoop::Run() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const Millis now = SteadyNow();
+    const WatchAction action = NextAction(state_, now);
+    if (action == WatchAction::kRest) {
+      wake_.wait_for(lock, (NextLook(state_, now) - now).ToMicros());
+      continue;
+    }
+    // The control thread may not have applied the last answer yet.
+    const Revision seen = state_.seen;
+    lock.unlock();
+    const Revision known = std::max(known_(), seen);
+    const auto result = Ask(action, known);
+    lock.lock();
+    Conclude(action, known, result);
+    if (stopping_) return;
+    lock.unlock();
+    sink_(result);
+    lock.lock();
+  }
+}
+
+Result<WatchNews> WatchLoop::Ask(WatchAction action, Revision known) {
+  const bool whole = action == WatchAction::kListWhole;
+  const Revision after = whole ? Revision() : known;
+  const auto changes = whole ? calls_.list(kConfigKind, after)
+                             : calls_.watch(kConfigKind, after, options_.wait);
+  if (!IsOk(changes)) return ErrorOf(changes);
+  return WatchNews{ToDelta(after, ValueOf(changes)), known};
+}
+
+void WatchLoop::Conclude(WatchAction action, Revision known,
+                         const Result<WatchNews>& result) {
+  const Millis now = SteadyNow();
+  if (IsOk(result)) {
+    AfterAnswer(&state_, action, known, ValueOf(result).delta.complete_to,
+                options_, now, &random_);
+  } else {
+    AfterFailure(&state_, options_, now, &random_);
+  }
+}
+
+}  // namespace hibiscuspick::platform
--- /dev/null
+++ b/packages/platform/tests/accept_write_test.cc
@@ -0,0 +1,236 @@
+#include "hibiscuspick/platform/accept_write.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "fake_platform.h"
+#include "hibiscuspick/settings/envelope.h"
+
+namespace data = boost::unit_test::data;
+namespace hp = hibiscuspick;
+namespace hpp = hibiscuspick::platform;
+using hp::Json;
+using hp::Revision;
+using hpp::FakePlatform;
+using hpp::WriteOutcome;
+using hpp::WriteState;
+using enum hpp::PutFault;
+
+namespace {
+
+const std::string kName = "settings/system";
+
+std::optional<hp::settings::Envelope> PresentOf(const FakePlatform& platform) {
+  const auto it = platform.objects.find(kName);
+  if (it == platform.objects.end()) return std::nullopt;
+  return ValueOf(hp::settings::ReadEnvelope(it->second.value));
+}
+
+std::optional<Revision> VersionOf(const FakePlatform& platform) {
+  const auto it = platform.objects.find(kName);
+  if (it == platform.objects.end()) return std::nullopt;
+  return it->second.version;
+}
+
+Json NextOf(const FakePlatform& platform, const std::string& write_id) {
+  const Revision version = VersionOf(platform).value_or(Revision());
+  return ToJson(NextEnvelope(PresentOf(platform), version, Json::object(),
+                             write_id, false));
+}
+
+// Another operator's write, which takes effect at once.
+void WriteOther(FakePlatform* platform, const std::string& write_id) {
+  const auto result =
+      platform->Store(kName, NextOf(*platform, write_id), VersionOf(*platform));
+  BOOST_REQUIRE(IsOk(result));
+}
+
+WriteState WriteOurs(
+    FakePlatform* platform, const std::function<void()>& pause = [] {}) {
+  WriteState state;
+  state.write_id = "ours";
+  state.expected = VersionOf(*platform);
+  return RunWrite(platform->MakeCalls(), kName, NextOf(*platform, "ours"),
+                  state, pause);
+}
+
+bool HasOurs(const FakePlatform& platform) {
+  const auto present = PresentOf(platform);
+  if (!present) return false;
+  const auto& writes = present->writes;
+  return std::any_of(writes.begin(), writes.end(),
+                     [](const auto& it) { return it.id == "ours"; });
+}
+
+struct Case {
+  std::string name;
+  // Writes there before ours, and those that come between our put's effect and
+  // the first read.
+  int writes_before;
+  int writes_after;
+  std::deque<hpp::PutFault> faults;
+  int failing_reads;
+  WriteOutcome outcome;
+  uint64_t version;
+};
+std::ostream& operator<<(std::ostream& out, const Case& it) {
+  return out << it.name;
+}
+
+using enum WriteOutcome;
+
+const Case kCases[] = {
+    {"a first write", 0, 0, {}, 0, kAccepted, 1},
+    {"a later write", 3, 0, {}, 0, kAccepted, 4},
+    {"the platform is down", 1, 0, {kDown}, 0, kNotTaken, 0},
+    {"its reply is lost", 1, 0, {kReplyLost}, 0, kAccepted, 2},
+    {"the reply to a first write is lost", 0, 0, {kReplyLost}, 0, kAccepted, 1},
+    {"its reply is lost and seven others follow",
+     1,
+     7,
+     {kReplyLost},
+     0,
+     kAccepted,
+     2},
+    {"its reply is lost and eight others follow",
+     1,
+     8,
+     {kReplyLost},
+     0,
+     kUnknown,
+     0},
+    {"it is lost itself and sent again", 1, 0, {kRequestLost}, 0, kAccepted, 2},
+    {"it is lost itself and another follows",
+     1,
+     1,
+     {kRequestLost},
+     0,
+     kConflict,
+     0},
+    {"it is lost itself and seven others follow a long past",
+     20,
+     7,
+     {kRequestLost},
+     0,
+     kConflict,
+     0},
+    {"it is lost itself and eight others follow",
+     20,
+     8,
+     {kRequestLost},
+     0,
+     kUnknown,
+     0},
+    {"lost reply, then reads fail a while",
+     1,
+     0,
+     {kReplyLost},
+     2,
+     kAccepted,
+     2},
+    {"lost reply, then the platform stays down",
+     1,
+     0,
+     {kReplyLost},
+     -1,
+     kUnknown,
+     0},
+    {"lost again and again",
+     1,
+     0,
+     {kRequestLost, kRequestLost, kRequestLost, kRequestLost, kRequestLost},
+     0,
+     kUnknown,
+     0},
+    {"lost, then down",
+     1,
+     0,
+     {kRequestLost, kDown, kDown, kDown, kDown},
+     0,
+     kUnknown,
+     0},
+    {"lost reply, sent again meets its own effect",
+     1,
+     0,
+     {kRequestLost, kReplyLost},
+     0,
+     kAccepted,
+     2},
+};
+
+}  // namespace
+
+// A write's request or reply is lost, the platform fails, or other operators
+// write over it before it can be read back. The operator must be told accepted
+// only if the write took effect, not accepted only if it never will, and
+// otherwise that it isn't known.
+BOOST_DATA_TEST_CASE(a_write_is_answered_truly, data::make(kCases), it) {
+  FakePlatform platform;
+  for (int i = 0; i < it.writes_before; ++i) {
+    WriteOther(&platform, "before " + std::to_string(i));
+  }
+  platform.put_faults = it.faults;
+  platform.failing_reads = it.failing_reads;
+  bool written = false;
+  const auto state = WriteOurs(&platform, [&] {
+    if (written) return;
+    written = true;
+    for (int i = 0; i < it.writes_after; ++i) {
+      WriteOther(&platform, "after " + std::to_string(i));
+    }
+  });
+  BOOST_TEST((state.outcome == it.outcome));
+  BOOST_TEST(state.version.value == it.version);
+  if (state.outcome == kConflict) BOOST_TEST(!HasOurs(platform));
+}
+
+// Two operators write at the same moment. Exactly one is told accepted, and the
+// other gets the winner's value.
+BOOST_AUTO_TEST_CASE(of_two_racing_writes_one_is_accepted) {
+  FakePlatform platform;
+  WriteOther(&platform, "before");
+  platform.before_put = [&] { WriteOther(&platform, "theirs"); };
+  const auto state = WriteOurs(&platform);
+  BOOST_TEST((state.outcome == kConflict));
+  BOOST_REQUIRE(state.present.has_value());
+  BOOST_TEST(state.present->version.value == 2);
+  BOOST_TEST(!HasOurs(platform));
+}
+
+// A put hangs in the network and takes effect long after its sender gave up on
+// it. Had the sender said "not accepted" when it saw the object unchanged, the
+// write would come into force against its word.
+BOOST_AUTO_TEST_CASE(a_put_that_arrives_late_is_never_called_not_accepted) {
+  FakePlatform platform;
+  WriteOther(&platform, "before");
+  platform.put_faults = {kDelayed, kDown, kDown, kDown, kDown};
+  auto state = WriteOurs(&platform);
+  BOOST_TEST((state.outcome == kUnknown));
+  BOOST_TEST(!HasOurs(platform));
+  platform.DeliverLate();
+  const auto judged =
+      hpp::JudgeWrite(&platform.objects[kName], "ours", Revision(1));
+  BOOST_TEST((judged.verdict == hpp::WriteVerdict::kTaken));
+}
+
+// The same, but the put could be sent again: whichever of the two comes first
+// ends the version that the other is conditional on.
+BOOST_AUTO_TEST_CASE(a_put_sent_again_takes_effect_once) {
+  FakePlatform platform;
+  WriteOther(&platform, "before");
+  platform.put_faults = {kDelayed};
+  const auto state = WriteOurs(&platform);
+  BOOST_TEST((state.outcome == kAccepted));
+  platform.DeliverLate();
+  BOOST_TEST((platform.objects[kName].version == state.version));
+  BOOST_TEST(platform.puts == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_value_written_by_other_means_proves_nothing) {
+  const hpp::StoredObject foreign{kName, Revision(5), Json("by hand")};
+  const auto judged = hpp::JudgeWrite(&foreign, "ours", Revision(4));
+  BOOST_TEST((judged.verdict == hpp::WriteVerdict::kUnknown));
+}
--- /dev/null
+++ b/packages/platform/tests/call_budget_test.cc
@@ -0,0 +1,49 @@
+#include "hibiscuspick/platform/call_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "fake_platform.h"
+
+namespace hp = hibiscuspick;
+namespace hpp = hibiscuspick::platform;
+using hp::Millis;
+
+// An instance in a retry loop would take the platform's rate from all others.
+BOOST_AUTO_TEST_CASE(the_budget_bounds_calls_over_time) {
+  auto budget = hpp::MakeCallBudget(10, 5, Millis(0));
+  int taken = 0;
+  for (int ms = 0; ms < 10000; ++ms) {
+    if (TakeCall(&budget, Millis(ms))) ++taken;
+  }
+  BOOST_TEST(taken >= 100);
+  BOOST_TEST(taken <= 105);
+  BOOST_TEST(!TakeCall(&budget, Millis(0)));
+}
+
+BOOST_AUTO_TEST_CASE(calls_over_the_budget_are_not_made) {
+  hpp::FakePlatform platform;
+  const auto calls =
+      LimitCalls(platform.MakeCalls(), hpp::MakeCallBudget(1, 2, Millis(0)),
+                 [] { return Millis(0); });
+  for (int i = 0; i < 5; ++i) {
+    const auto result = calls.put("config", "x", {}, std::nullopt);
+    if (i < 2) continue;
+    BOOST_REQUIRE(!IsOk(result));
+    BOOST_TEST((ErrorOf(result).code == hp::Code::kPlatformUnavailable));
+  }
+  BOOST_TEST(platform.puts == 2);
+}
+
+// All instances lose the platform at one moment. Were their rests equal they
+// would all come back at one moment too.
+BOOST_AUTO_TEST_CASE(rests_grow_to_a_bound_and_differ) {
+  hp::Random random(7);
+  const hpp::BackoffLimits limits{Millis(100), Millis(1000)};
+  for (int failures = 1; failures < 100; ++failures) {
+    const Millis rest = BackoffAfter(failures, limits, &random);
+    const Millis other = BackoffAfter(failures, limits, &random);
+    BOOST_TEST(rest.count >= 0);
+    BOOST_TEST(rest.count <= (failures == 1 ? 100 : 1000));
+    BOOST_TEST(rest.count != other.count);
+  }
+}
