Operators: the API to read, change and delete configuration objects

Operators race each other and the platform loses replies, so each write names the version it replaces, and is answered accepted, conflict, not taken or not known, with a write id to ask again by. A drain is spread at once, also while the platform is down, and then said not to be stored.

--- /dev/null
+++ b/packages/operators/src/precondition.cc
@@ -0,0 +1,51 @@
+#include "precondition.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace hibiscuspick::operators {
+namespace {
+
+// A version as `7` or, as HTTP writes entity tags, `"7"`.
+std::optional<Revision> ParseVersion(std::string_view text) {
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, number);
+  if (ec != std::errc() || rest != end || number == 0) return std::nullopt;
+  return Revision(number);
+}
+
+Error Refusal(std::string message) {
+  return {Code::kMalformedRequest, "", std::move(message)};
+}
+
+}  // namespace
+
+Result<Precondition> ReadPrecondition(const Request& request,
+                                      settings::ObjectKind kind) {
+  const bool match = !request.if_match.empty();
+  const bool none_match = !request.if_none_match.empty();
+  if (match && none_match) {
+    return Refusal("give If-Match or If-None-Match, not both");
+  }
+  if (none_match) {
+    if (request.if_none_match == "*") return Precondition{};
+    return Refusal("If-None-Match may only be *");
+  }
+  if (match) {
+    const auto version = ParseVersion(request.if_match);
+    if (!version) return Refusal("If-Match must be a version");
+    return Precondition{PreconditionKind::kVersion, *version};
+  }
+  if (kind == settings::ObjectKind::kDrain) {
+    return Precondition{PreconditionKind::kAny, {}};
+  }
+  return Refusal(
+      "a write needs If-Match with the version it replaces, or "
+      "If-None-Match: * for a new object");
+}
+
+}  // namespace hibiscuspick::operators
--- /dev/null
+++ b/packages/operators/src/reply.h
@@ -0,0 +1,34 @@
+// The API's replies, built in one place.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "hibiscuspick/base/code.h"
+#include "hibiscuspick/operators/api.h"
+#include "hibiscuspick/settings/faults.h"
+
+namespace hibiscuspick::operators {
+
+inline constexpr int kStatusOk = 200;
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusNotAllowed = 405;
+inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusTooLarge = 413;
+inline constexpr int kStatusUnprocessable = 422;
+inline constexpr int kStatusPreconditionRequired = 428;
+inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusUnknown = 504;
+
+// {"error": {"code", "name", "message"}}; without a message, the code's own.
+Reply ErrorReply(int status, Code code, std::string message = "");
+
+// [{"path", "message"}].
+Json FaultsJson(const std::vector<settings::Fault>& faults);
+
+// 422 with every fault.
+Reply FaultsReply(const std::vector<settings::Fault>& faults);
+
+}  // namespace hibiscuspick::operators
--- /dev/null
+++ b/packages/operators/src/write.h
@@ -0,0 +1,23 @@
+// PUT and DELETE of one object: check, write at the platform, settle what
+// became of it, tell the daemon.
+#pragma once
+
+#include <optional>
+
+#include "hibiscuspick/operators/api.h"
+#include "hibiscuspick/settings/object_name.h"
+
+namespace hibiscuspick::operators {
+
+Reply HandlePut(const Ports& ports, const Request& request,
+                const settings::ObjectName& name);
+
+Reply HandleDelete(const Ports& ports, const Request& request,
+                   const settings::ObjectName& name);
+
+// GET /v1/writes/{kind}/{name}?write_id=…&expected=…: what became of a write
+// whose answer was 504. `expected` is the version it named, or "none".
+Reply HandleAsk(const Ports& ports, const Request& request,
+                const settings::ObjectName& name);
+
+}  // namespace hibiscuspick::operators
--- a/packages/platform/include/hibiscuspick/platform/accept_write.h
+++ b/packages/platform/include/hibiscuspick/platform/accept_write.h
@@ -72,6 +72,8 @@
   WriteOutcome outcome = WriteOutcome::kUnknown;
   Revision version;
   std::optional<StoredObject> present;
+  // It was read, and there is no object.
+  bool absent = false;
 };
 
 // After a lost reply and an object that is unchanged, the same put is sent
--- a/packages/platform/src/accept_write.cc
+++ b/packages/platform/src/accept_write.cc
@@ -93,6 +93,7 @@
     return Repeat(state, WriteStep::kRead);
   }
   state->present.reset();
+  state->absent = !found;
   if (found) state->present = ValueOf(result);
   const auto judged = JudgeWrite(found ? &ValueOf(result) : nullptr,
                                  state->write_id, state->expected);
