Membership and mesh: public headers

The gossip part of the inner protocol becomes hashes and entries instead of whole member lists, which at 66 instances a data centre would not fit the traffic budget; Hello carries the caller's own address.

--- a/packages/inner/gen/Inner.cpp
+++ b/packages/inner/gen/Inner.cpp
@@ -225,14 +225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->messages.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->messages.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->messages[_i80].read(iprot);
+              xfer += this->messages[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -261,10 +261,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter81;
-    for (_iter81 = this->messages.begin(); _iter81 != this->messages.end(); ++_iter81)
+    std::vector<Message> ::const_iterator _iter115;
+    for (_iter115 = this->messages.begin(); _iter115 != this->messages.end(); ++_iter115)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -288,10 +288,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->messages)).size()));
-    std::vector<Message> ::const_iterator _iter82;
-    for (_iter82 = (*(this->messages)).begin(); _iter82 != (*(this->messages)).end(); ++_iter82)
+    std::vector<Message> ::const_iterator _iter116;
+    for (_iter116 = (*(this->messages)).begin(); _iter116 != (*(this->messages)).end(); ++_iter116)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/packages/inner/gen/inner_types.cpp
+++ b/packages/inner/gen/inner_types.cpp
@@ -37,6 +37,11 @@
 void Hello::__set_data_centre(const std::string& val) {
   this->data_centre = val;
 }
+
+void Hello::__set_inner_address(const std::string& val) {
+  this->inner_address = val;
+__isset.inner_address = true;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -105,6 +110,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->inner_address);
+          this->__isset.inner_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -142,6 +155,11 @@
   xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.inner_address) {
+    xfer += oprot->writeFieldBegin("inner_address", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->inner_address);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -154,6 +172,7 @@
   swap(a.instance, b.instance);
   swap(a.incarnation, b.incarnation);
   swap(a.data_centre, b.data_centre);
+  swap(a.inner_address, b.inner_address);
   swap(a.__isset, b.__isset);
 }
 
@@ -163,6 +182,7 @@
   instance = other0.instance;
   incarnation = other0.incarnation;
   data_centre = other0.data_centre;
+  inner_address = other0.inner_address;
   __isset = other0.__isset;
 }
 Hello& Hello::operator=(const Hello& other1) {
@@ -171,6 +191,7 @@
   instance = other1.instance;
   incarnation = other1.incarnation;
   data_centre = other1.data_centre;
+  inner_address = other1.inner_address;
   __isset = other1.__isset;
   return *this;
 }
@@ -182,6 +203,7 @@
   out << ", " << "instance=" << to_string(instance);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "inner_address="; (__isset.inner_address ? (out << to_string(inner_address)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1498,8 +1520,8 @@
   this->phase = val;
 }
 
-void MemberState::__set_config_complete_to(const int64_t val) {
-  this->config_complete_to = val;
+void MemberState::__set_refutations(const int32_t val) {
+  this->refutations = val;
 }
 std::ostream& operator<<(std::ostream& out, const MemberState& obj)
 {
@@ -1578,9 +1600,9 @@
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->config_complete_to);
-          this->__isset.config_complete_to = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refutations);
+          this->__isset.refutations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1626,8 +1648,8 @@
   xfer += oprot->writeI32(this->phase);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_complete_to", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->config_complete_to);
+  xfer += oprot->writeFieldBegin("refutations", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->refutations);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1643,7 +1665,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.heartbeat, b.heartbeat);
   swap(a.phase, b.phase);
-  swap(a.config_complete_to, b.config_complete_to);
+  swap(a.refutations, b.refutations);
   swap(a.__isset, b.__isset);
 }
 
@@ -1654,7 +1676,7 @@
   incarnation = other46.incarnation;
   heartbeat = other46.heartbeat;
   phase = other46.phase;
-  config_complete_to = other46.config_complete_to;
+  refutations = other46.refutations;
   __isset = other46.__isset;
 }
 MemberState& MemberState::operator=(const MemberState& other47) {
@@ -1664,7 +1686,7 @@
   incarnation = other47.incarnation;
   heartbeat = other47.heartbeat;
   phase = other47.phase;
-  config_complete_to = other47.config_complete_to;
+  refutations = other47.refutations;
   __isset = other47.__isset;
   return *this;
 }
@@ -1677,7 +1699,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "heartbeat=" << to_string(heartbeat);
   out << ", " << "phase=" << to_string(phase);
-  out << ", " << "config_complete_to=" << to_string(config_complete_to);
+  out << ", " << "refutations=" << to_string(refutations);
   out << ")";
 }
 
@@ -1697,6 +1719,10 @@
 void ServerNews::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void ServerNews::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerNews& obj)
 {
   obj.printTo(out);
@@ -1749,6 +1775,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1778,6 +1812,10 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1788,6 +1826,7 @@
   swap(a.server, b.server);
   swap(a.incarnation, b.incarnation);
   swap(a.draining, b.draining);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
@@ -1795,12 +1834,14 @@
   server = other48.server;
   incarnation = other48.incarnation;
   draining = other48.draining;
+  round = other48.round;
   __isset = other48.__isset;
 }
 ServerNews& ServerNews::operator=(const ServerNews& other49) {
   server = other49.server;
   incarnation = other49.incarnation;
   draining = other49.draining;
+  round = other49.round;
   __isset = other49.__isset;
   return *this;
 }
@@ -1810,6 +1851,7 @@
   out << "server=" << to_string(server);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -2098,6 +2140,118 @@
 }
 
 
+DataCentreAge::~DataCentreAge() noexcept {
+}
+
+
+void DataCentreAge::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void DataCentreAge::__set_age_ms(const double val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const DataCentreAge& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DataCentreAge::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DataCentreAge::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DataCentreAge");
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DataCentreAge &a, DataCentreAge &b) {
+  using ::std::swap;
+  swap(a.data_centre, b.data_centre);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+DataCentreAge::DataCentreAge(const DataCentreAge& other60) {
+  data_centre = other60.data_centre;
+  age_ms = other60.age_ms;
+  __isset = other60.__isset;
+}
+DataCentreAge& DataCentreAge::operator=(const DataCentreAge& other61) {
+  data_centre = other61.data_centre;
+  age_ms = other61.age_ms;
+  __isset = other61.__isset;
+  return *this;
+}
+void DataCentreAge::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DataCentreAge(";
+  out << "data_centre=" << to_string(data_centre);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Digest::~Digest() noexcept {
 }
 
@@ -2110,17 +2264,37 @@
   this->config_hash = val;
 }
 
-void Digest::__set_members(const std::vector<MemberState> & val) {
-  this->members = val;
-}
-
-void Digest::__set_servers(const std::vector<ServerNews> & val) {
-  this->servers = val;
+void Digest::__set_sender(const MemberState& val) {
+  this->sender = val;
 }
 
 void Digest::__set_reply_wanted(const bool val) {
   this->reply_wanted = val;
 }
+
+void Digest::__set_config_newest(const int64_t val) {
+  this->config_newest = val;
+}
+
+void Digest::__set_member_buckets(const std::vector<int32_t> & val) {
+  this->member_buckets = val;
+}
+
+void Digest::__set_server_buckets(const std::vector<int32_t> & val) {
+  this->server_buckets = val;
+}
+
+void Digest::__set_heartbeat_keys(const std::vector<int64_t> & val) {
+  this->heartbeat_keys = val;
+}
+
+void Digest::__set_heartbeats(const std::vector<int32_t> & val) {
+  this->heartbeats = val;
+}
+
+void Digest::__set_data_centres(const std::vector<DataCentreAge> & val) {
+  this->data_centres = val;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -2166,49 +2340,125 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reply_wanted);
+          this->__isset.reply_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_newest);
+          this->__isset.config_newest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->members.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->members.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            this->member_buckets.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->member_buckets.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->members[_i64].read(iprot);
+              xfer += iprot->readI32(this->member_buckets[_i66]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.members = true;
+          this->__isset.member_buckets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->servers.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->servers.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            this->server_buckets.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->server_buckets.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->servers[_i69].read(iprot);
+              xfer += iprot->readI32(this->server_buckets[_i71]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.servers = true;
+          this->__isset.server_buckets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->reply_wanted);
-          this->__isset.reply_wanted = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heartbeat_keys.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->heartbeat_keys.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += iprot->readI64(this->heartbeat_keys[_i76]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heartbeat_keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heartbeats.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->heartbeats.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              xfer += iprot->readI32(this->heartbeats[_i81]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heartbeats = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->data_centres.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->data_centres.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->data_centres[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.data_centres = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2238,32 +2488,76 @@
   xfer += oprot->writeI64(this->config_hash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reply_wanted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reply_wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_newest", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->config_newest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member_buckets", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberState> ::const_iterator _iter70;
-    for (_iter70 = this->members.begin(); _iter70 != this->members.end(); ++_iter70)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->member_buckets.size()));
+    std::vector<int32_t> ::const_iterator _iter87;
+    for (_iter87 = this->member_buckets.begin(); _iter87 != this->member_buckets.end(); ++_iter87)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += oprot->writeI32((*_iter87));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("server_buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerNews> ::const_iterator _iter71;
-    for (_iter71 = this->servers.begin(); _iter71 != this->servers.end(); ++_iter71)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->server_buckets.size()));
+    std::vector<int32_t> ::const_iterator _iter88;
+    for (_iter88 = this->server_buckets.begin(); _iter88 != this->server_buckets.end(); ++_iter88)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += oprot->writeI32((*_iter88));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reply_wanted", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->reply_wanted);
+  xfer += oprot->writeFieldBegin("heartbeat_keys", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heartbeat_keys.size()));
+    std::vector<int64_t> ::const_iterator _iter89;
+    for (_iter89 = this->heartbeat_keys.begin(); _iter89 != this->heartbeat_keys.end(); ++_iter89)
+    {
+      xfer += oprot->writeI64((*_iter89));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heartbeats", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->heartbeats.size()));
+    std::vector<int32_t> ::const_iterator _iter90;
+    for (_iter90 = this->heartbeats.begin(); _iter90 != this->heartbeats.end(); ++_iter90)
+    {
+      xfer += oprot->writeI32((*_iter90));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centres", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->data_centres.size()));
+    std::vector<DataCentreAge> ::const_iterator _iter91;
+    for (_iter91 = this->data_centres.begin(); _iter91 != this->data_centres.end(); ++_iter91)
+    {
+      xfer += (*_iter91).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2275,27 +2569,42 @@
   using ::std::swap;
   swap(a.config_complete_to, b.config_complete_to);
   swap(a.config_hash, b.config_hash);
-  swap(a.members, b.members);
-  swap(a.servers, b.servers);
+  swap(a.sender, b.sender);
   swap(a.reply_wanted, b.reply_wanted);
+  swap(a.config_newest, b.config_newest);
+  swap(a.member_buckets, b.member_buckets);
+  swap(a.server_buckets, b.server_buckets);
+  swap(a.heartbeat_keys, b.heartbeat_keys);
+  swap(a.heartbeats, b.heartbeats);
+  swap(a.data_centres, b.data_centres);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other72) {
-  config_complete_to = other72.config_complete_to;
-  config_hash = other72.config_hash;
-  members = other72.members;
-  servers = other72.servers;
-  reply_wanted = other72.reply_wanted;
-  __isset = other72.__isset;
-}
-Digest& Digest::operator=(const Digest& other73) {
-  config_complete_to = other73.config_complete_to;
-  config_hash = other73.config_hash;
-  members = other73.members;
-  servers = other73.servers;
-  reply_wanted = other73.reply_wanted;
-  __isset = other73.__isset;
+Digest::Digest(const Digest& other92) {
+  config_complete_to = other92.config_complete_to;
+  config_hash = other92.config_hash;
+  sender = other92.sender;
+  reply_wanted = other92.reply_wanted;
+  config_newest = other92.config_newest;
+  member_buckets = other92.member_buckets;
+  server_buckets = other92.server_buckets;
+  heartbeat_keys = other92.heartbeat_keys;
+  heartbeats = other92.heartbeats;
+  data_centres = other92.data_centres;
+  __isset = other92.__isset;
+}
+Digest& Digest::operator=(const Digest& other93) {
+  config_complete_to = other93.config_complete_to;
+  config_hash = other93.config_hash;
+  sender = other93.sender;
+  reply_wanted = other93.reply_wanted;
+  config_newest = other93.config_newest;
+  member_buckets = other93.member_buckets;
+  server_buckets = other93.server_buckets;
+  heartbeat_keys = other93.heartbeat_keys;
+  heartbeats = other93.heartbeats;
+  data_centres = other93.data_centres;
+  __isset = other93.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -2303,9 +2612,186 @@
   out << "Digest(";
   out << "config_complete_to=" << to_string(config_complete_to);
   out << ", " << "config_hash=" << to_string(config_hash);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "sender=" << to_string(sender);
   out << ", " << "reply_wanted=" << to_string(reply_wanted);
+  out << ", " << "config_newest=" << to_string(config_newest);
+  out << ", " << "member_buckets=" << to_string(member_buckets);
+  out << ", " << "server_buckets=" << to_string(server_buckets);
+  out << ", " << "heartbeat_keys=" << to_string(heartbeat_keys);
+  out << ", " << "heartbeats=" << to_string(heartbeats);
+  out << ", " << "data_centres=" << to_string(data_centres);
+  out << ")";
+}
+
+
+News::~News() noexcept {
+}
+
+
+void News::__set_members(const std::vector<MemberState> & val) {
+  this->members = val;
+}
+
+void News::__set_servers(const std::vector<ServerNews> & val) {
+  this->servers = val;
+}
+
+void News::__set_pass_on(const bool val) {
+  this->pass_on = val;
+}
+std::ostream& operator<<(std::ostream& out, const News& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t News::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->members.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->members[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->servers.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->servers[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pass_on);
+          this->__isset.pass_on = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t News::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("News");
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberState> ::const_iterator _iter104;
+    for (_iter104 = this->members.begin(); _iter104 != this->members.end(); ++_iter104)
+    {
+      xfer += (*_iter104).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerNews> ::const_iterator _iter105;
+    for (_iter105 = this->servers.begin(); _iter105 != this->servers.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pass_on", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->pass_on);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(News &a, News &b) {
+  using ::std::swap;
+  swap(a.members, b.members);
+  swap(a.servers, b.servers);
+  swap(a.pass_on, b.pass_on);
+  swap(a.__isset, b.__isset);
+}
+
+News::News(const News& other106) {
+  members = other106.members;
+  servers = other106.servers;
+  pass_on = other106.pass_on;
+  __isset = other106.__isset;
+}
+News& News::operator=(const News& other107) {
+  members = other107.members;
+  servers = other107.servers;
+  pass_on = other107.pass_on;
+  __isset = other107.__isset;
+  return *this;
+}
+void News::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "News(";
+  out << "members=" << to_string(members);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "pass_on=" << to_string(pass_on);
   out << ")";
 }
 
@@ -2338,6 +2824,11 @@
   this->config = val;
 __isset.config = true;
 }
+
+void Message::__set_news(const News& val) {
+  this->news = val;
+__isset.news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2406,6 +2897,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->news.read(iprot);
+          this->__isset.news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2448,6 +2947,11 @@
     xfer += this->config.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.news) {
+    xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2460,24 +2964,27 @@
   swap(a.cancel, b.cancel);
   swap(a.digest, b.digest);
   swap(a.config, b.config);
+  swap(a.news, b.news);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other74) {
-  part = other74.part;
-  outcomes = other74.outcomes;
-  cancel = other74.cancel;
-  digest = other74.digest;
-  config = other74.config;
-  __isset = other74.__isset;
-}
-Message& Message::operator=(const Message& other75) {
-  part = other75.part;
-  outcomes = other75.outcomes;
-  cancel = other75.cancel;
-  digest = other75.digest;
-  config = other75.config;
-  __isset = other75.__isset;
+Message::Message(const Message& other108) {
+  part = other108.part;
+  outcomes = other108.outcomes;
+  cancel = other108.cancel;
+  digest = other108.digest;
+  config = other108.config;
+  news = other108.news;
+  __isset = other108.__isset;
+}
+Message& Message::operator=(const Message& other109) {
+  part = other109.part;
+  outcomes = other109.outcomes;
+  cancel = other109.cancel;
+  digest = other109.digest;
+  config = other109.config;
+  news = other109.news;
+  __isset = other109.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -2488,6 +2995,7 @@
   out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
   out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ", " << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "news="; (__isset.news ? (out << to_string(news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/inner/gen/inner_types.h
+++ b/packages/inner/gen/inner_types.h
@@ -45,17 +45,22 @@
 
 class ConfigDelta;
 
+class DataCentreAge;
+
 class Digest;
 
+class News;
+
 class Message;
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocol_version(false), key(false), instance(false), incarnation(false), data_centre(false) {}
+  _Hello__isset() : protocol_version(false), key(false), instance(false), incarnation(false), data_centre(false), inner_address(false) {}
   bool protocol_version :1;
   bool key :1;
   bool instance :1;
   bool incarnation :1;
   bool data_centre :1;
+  bool inner_address :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
@@ -68,7 +73,8 @@
           key(),
           instance(),
           incarnation(0),
-          data_centre() {
+          data_centre(),
+          inner_address() {
   }
 
   virtual ~Hello() noexcept;
@@ -77,6 +83,7 @@
   std::string instance;
   int64_t incarnation;
   std::string data_centre;
+  std::string inner_address;
 
   _Hello__isset __isset;
 
@@ -90,6 +97,8 @@
 
   void __set_data_centre(const std::string& val);
 
+  void __set_inner_address(const std::string& val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocol_version == rhs.protocol_version))
@@ -102,6 +111,10 @@
       return false;
     if (!(data_centre == rhs.data_centre))
       return false;
+    if (__isset.inner_address != rhs.__isset.inner_address)
+      return false;
+    else if (__isset.inner_address && !(inner_address == rhs.inner_address))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -606,14 +619,14 @@
 std::ostream& operator<<(std::ostream& out, const PartCancel& obj);
 
 typedef struct _MemberState__isset {
-  _MemberState__isset() : instance(false), data_centre(false), inner_address(false), incarnation(false), heartbeat(false), phase(false), config_complete_to(false) {}
+  _MemberState__isset() : instance(false), data_centre(false), inner_address(false), incarnation(false), heartbeat(false), phase(false), refutations(false) {}
   bool instance :1;
   bool data_centre :1;
   bool inner_address :1;
   bool incarnation :1;
   bool heartbeat :1;
   bool phase :1;
-  bool config_complete_to :1;
+  bool refutations :1;
 } _MemberState__isset;
 
 class MemberState : public virtual ::apache::thrift::TBase {
@@ -628,7 +641,7 @@
                 incarnation(0),
                 heartbeat(0),
                 phase(0),
-                config_complete_to(0) {
+                refutations(0) {
   }
 
   virtual ~MemberState() noexcept;
@@ -638,7 +651,7 @@
   int64_t incarnation;
   int64_t heartbeat;
   int32_t phase;
-  int64_t config_complete_to;
+  int32_t refutations;
 
   _MemberState__isset __isset;
 
@@ -654,7 +667,7 @@
 
   void __set_phase(const int32_t val);
 
-  void __set_config_complete_to(const int64_t val);
+  void __set_refutations(const int32_t val);
 
   bool operator == (const MemberState & rhs) const
   {
@@ -670,7 +683,7 @@
       return false;
     if (!(phase == rhs.phase))
       return false;
-    if (!(config_complete_to == rhs.config_complete_to))
+    if (!(refutations == rhs.refutations))
       return false;
     return true;
   }
@@ -691,10 +704,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberState& obj);
 
 typedef struct _ServerNews__isset {
-  _ServerNews__isset() : server(false), incarnation(false), draining(false) {}
+  _ServerNews__isset() : server(false), incarnation(false), draining(false), round(false) {}
   bool server :1;
   bool incarnation :1;
   bool draining :1;
+  bool round :1;
 } _ServerNews__isset;
 
 class ServerNews : public virtual ::apache::thrift::TBase {
@@ -705,13 +719,15 @@
   ServerNews() noexcept
              : server(),
                incarnation(0),
-               draining(0) {
+               draining(0),
+               round(0) {
   }
 
   virtual ~ServerNews() noexcept;
   std::string server;
   int64_t incarnation;
   bool draining;
+  int64_t round;
 
   _ServerNews__isset __isset;
 
@@ -721,6 +737,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_round(const int64_t val);
+
   bool operator == (const ServerNews & rhs) const
   {
     if (!(server == rhs.server))
@@ -729,6 +747,8 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (!(round == rhs.round))
+      return false;
     return true;
   }
   bool operator != (const ServerNews &rhs) const {
@@ -860,13 +880,68 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj);
 
+typedef struct _DataCentreAge__isset {
+  _DataCentreAge__isset() : data_centre(false), age_ms(false) {}
+  bool data_centre :1;
+  bool age_ms :1;
+} _DataCentreAge__isset;
+
+class DataCentreAge : public virtual ::apache::thrift::TBase {
+ public:
+
+  DataCentreAge(const DataCentreAge&);
+  DataCentreAge& operator=(const DataCentreAge&);
+  DataCentreAge() noexcept
+                : data_centre(),
+                  age_ms(0) {
+  }
+
+  virtual ~DataCentreAge() noexcept;
+  std::string data_centre;
+  double age_ms;
+
+  _DataCentreAge__isset __isset;
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_age_ms(const double val);
+
+  bool operator == (const DataCentreAge & rhs) const
+  {
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const DataCentreAge &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DataCentreAge & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DataCentreAge &a, DataCentreAge &b);
+
+std::ostream& operator<<(std::ostream& out, const DataCentreAge& obj);
+
 typedef struct _Digest__isset {
-  _Digest__isset() : config_complete_to(false), config_hash(false), members(false), servers(false), reply_wanted(false) {}
+  _Digest__isset() : config_complete_to(false), config_hash(false), sender(false), reply_wanted(false), config_newest(false), member_buckets(false), server_buckets(false), heartbeat_keys(false), heartbeats(false), data_centres(false) {}
   bool config_complete_to :1;
   bool config_hash :1;
-  bool members :1;
-  bool servers :1;
+  bool sender :1;
   bool reply_wanted :1;
+  bool config_newest :1;
+  bool member_buckets :1;
+  bool server_buckets :1;
+  bool heartbeat_keys :1;
+  bool heartbeats :1;
+  bool data_centres :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -877,15 +952,21 @@
   Digest() noexcept
          : config_complete_to(0),
            config_hash(0),
-           reply_wanted(0) {
+           reply_wanted(0),
+           config_newest(0) {
   }
 
   virtual ~Digest() noexcept;
   int64_t config_complete_to;
   int64_t config_hash;
-  std::vector<MemberState>  members;
-  std::vector<ServerNews>  servers;
+  MemberState sender;
   bool reply_wanted;
+  int64_t config_newest;
+  std::vector<int32_t>  member_buckets;
+  std::vector<int32_t>  server_buckets;
+  std::vector<int64_t>  heartbeat_keys;
+  std::vector<int32_t>  heartbeats;
+  std::vector<DataCentreAge>  data_centres;
 
   _Digest__isset __isset;
 
@@ -893,24 +974,44 @@
 
   void __set_config_hash(const int64_t val);
 
-  void __set_members(const std::vector<MemberState> & val);
-
-  void __set_servers(const std::vector<ServerNews> & val);
+  void __set_sender(const MemberState& val);
 
   void __set_reply_wanted(const bool val);
 
+  void __set_config_newest(const int64_t val);
+
+  void __set_member_buckets(const std::vector<int32_t> & val);
+
+  void __set_server_buckets(const std::vector<int32_t> & val);
+
+  void __set_heartbeat_keys(const std::vector<int64_t> & val);
+
+  void __set_heartbeats(const std::vector<int32_t> & val);
+
+  void __set_data_centres(const std::vector<DataCentreAge> & val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(config_complete_to == rhs.config_complete_to))
       return false;
     if (!(config_hash == rhs.config_hash))
       return false;
-    if (!(members == rhs.members))
-      return false;
-    if (!(servers == rhs.servers))
+    if (!(sender == rhs.sender))
       return false;
     if (!(reply_wanted == rhs.reply_wanted))
       return false;
+    if (!(config_newest == rhs.config_newest))
+      return false;
+    if (!(member_buckets == rhs.member_buckets))
+      return false;
+    if (!(server_buckets == rhs.server_buckets))
+      return false;
+    if (!(heartbeat_keys == rhs.heartbeat_keys))
+      return false;
+    if (!(heartbeats == rhs.heartbeats))
+      return false;
+    if (!(data_centres == rhs.data_centres))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
@@ -929,13 +1030,69 @@
 
 std::ostream& operator<<(std::ostream& out, const Digest& obj);
 
+typedef struct _News__isset {
+  _News__isset() : members(false), servers(false), pass_on(false) {}
+  bool members :1;
+  bool servers :1;
+  bool pass_on :1;
+} _News__isset;
+
+class News : public virtual ::apache::thrift::TBase {
+ public:
+
+  News(const News&);
+  News& operator=(const News&);
+  News() noexcept
+       : pass_on(0) {
+  }
+
+  virtual ~News() noexcept;
+  std::vector<MemberState>  members;
+  std::vector<ServerNews>  servers;
+  bool pass_on;
+
+  _News__isset __isset;
+
+  void __set_members(const std::vector<MemberState> & val);
+
+  void __set_servers(const std::vector<ServerNews> & val);
+
+  void __set_pass_on(const bool val);
+
+  bool operator == (const News & rhs) const
+  {
+    if (!(members == rhs.members))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(pass_on == rhs.pass_on))
+      return false;
+    return true;
+  }
+  bool operator != (const News &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const News & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(News &a, News &b);
+
+std::ostream& operator<<(std::ostream& out, const News& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : part(false), outcomes(false), cancel(false), digest(false), config(false) {}
+  _Message__isset() : part(false), outcomes(false), cancel(false), digest(false), config(false), news(false) {}
   bool part :1;
   bool outcomes :1;
   bool cancel :1;
   bool digest :1;
   bool config :1;
+  bool news :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -952,6 +1109,7 @@
   PartCancel cancel;
   Digest digest;
   ConfigDelta config;
+  News news;
 
   _Message__isset __isset;
 
@@ -965,6 +1123,8 @@
 
   void __set_config(const ConfigDelta& val);
 
+  void __set_news(const News& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.part != rhs.__isset.part)
@@ -987,6 +1147,10 @@
       return false;
     else if (__isset.config && !(config == rhs.config))
       return false;
+    if (__isset.news != rhs.__isset.news)
+      return false;
+    else if (__isset.news && !(news == rhs.news))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/inner/inner.thrift
+++ b/packages/inner/inner.thrift
@@ -11,6 +11,9 @@
   3: string instance
   4: i64 incarnation
   5: string data_centre
+  // Where the caller listens itself, so that it can be answered before the
+  // membership has spread.
+  6: optional string inner_address
 }
 
 struct HelloReply {
@@ -70,24 +73,30 @@
   3: i64 part
 }
 
-// What one instance knows of one other.
+// What one instance knows of one other. Of two states of an instance the one
+// with the higher (incarnation, refutations, phase) wins.
 struct MemberState {
   1: string instance
   2: string data_centre
   3: string inner_address
   4: i64 incarnation
+  // Rises each second; carried inside a data centre only, 0 elsewhere.
   5: i64 heartbeat
   // 0 starting, 1 serving, 2 leaving, 3 gone.
   6: i32 phase
-  // The configuration revision up to which it has everything.
-  7: i64 config_complete_to
+  // How often this life has contradicted a report that it was gone.
+  7: i32 refutations
 }
 
-// What is known of a backend server's willingness to take work.
+// What is known of a backend server's willingness to take work. The higher
+// (incarnation, round, draining) wins.
 struct ServerNews {
   1: string server
   2: i64 incarnation
   3: bool draining
+  // Raised by an operator's word that the server takes work again although its
+  // incarnation has not risen.
+  4: i64 round
 }
 
 struct ConfigObject {
@@ -104,14 +113,39 @@
   3: list<ConfigObject> objects
 }
 
-// Sent each second to one or two peers. The receiver sends back what is newer
-// with it, and asks for what is newer here.
+// How long ago anything was heard from a data centre; ages, since clocks of two
+// machines are never compared.
+struct DataCentreAge {
+  1: string data_centre
+  2: double age_ms
+}
+
+// Hashes of what the sender knows, sent each second to a few peers. The
+// receiver sends what is newer with it and, if a reply is wanted, its own
+// digest of what differs.
 struct Digest {
   1: i64 config_complete_to
   2: i64 config_hash
-  3: list<MemberState> members
-  4: list<ServerNews> servers
-  5: bool reply_wanted
+  3: MemberState sender
+  4: bool reply_wanted
+  // The highest version of any object; may be above config_complete_to.
+  5: i64 config_newest
+  // Empty, or one hash for each bucket of instances and of backend servers.
+  6: list<i32> member_buckets
+  7: list<i32> server_buckets
+  // Heartbeats of the sender's data centre: hashes of the member's name and
+  // life, and the beat of each.
+  8: list<i64> heartbeat_keys
+  9: list<i32> heartbeats
+  10: list<DataCentreAge> data_centres
+}
+
+// Entries themselves: a change on its way, or the answer to a digest.
+struct News {
+  1: list<MemberState> members
+  2: list<ServerNews> servers
+  // A change: whoever hears it first passes it on. Not so for a repair.
+  3: bool pass_on
 }
 
 // Exactly one field is set; a message with none that is known is passed over.
@@ -121,6 +155,7 @@
   3: PartCancel cancel
   4: Digest digest
   5: ConfigDelta config
+  6: News news
 }
 
 service Inner {
--- /dev/null
+++ b/packages/membership/include/hibiscuspick/membership/server_news.h
@@ -0,0 +1,37 @@
+// What the fleet knows of backend servers that are leaving. The first sign
+// from any source is enough, and old news cannot revive a server: of two
+// reports the higher (incarnation, round, draining) wins.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "hibiscuspick/base/ids.h"
+
+namespace hibiscuspick::membership {
+
+struct ServerNews {
+  BackendServerId server;
+  // 0 if the source did not give one (the header is optional).
+  Incarnation incarnation;
+  // Raised when an operator says that the server takes work again although
+  // nothing shows a new incarnation.
+  uint64_t round = 0;
+  bool draining = false;
+
+  bool operator==(const ServerNews&) const = default;
+};
+
+// Whether `a` replaces `b`; draining beats not draining in the same life.
+bool Replaces(const ServerNews& a, const ServerNews& b);
+
+using ServerNewsTable = std::map<BackendServerId, ServerNews>;
+
+// Takes the news if it is newer; true if it was.
+bool MergeServer(ServerNewsTable* table, const ServerNews& news);
+
+// The news by which an operator takes back a drain in the table: one round up.
+ServerNews UndrainOf(const ServerNewsTable& table,
+                     const BackendServerId& server);
+
+}  // namespace hibiscuspick::membership
