limits: the pure group of slots, lanes, hedges and retries

First working engine: exact slots per server, lanes with earliest deadline first and owed starts, choice of two, ejection with a cap, one budget for hedges and retries, and refusal at the door. Tests in virtual time cover failed attempts by code, hung attempts, cancel and drain.

--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -123,6 +123,8 @@
   bool waits = false;
   QueuePlace place;
   AttemptKind next_kind = AttemptKind::kFirst;
+  // Whether the waiting attempt was taken from the budget.
+  bool paid = false;
   bool hedged = false;
   // Attempts handed to a socket.
   uint32_t handed = 0;
@@ -137,6 +139,8 @@
   IndexVersion version;
   Millis deadline;
   Millis handed_at;
+  AttemptKind kind = AttemptKind::kFirst;
+  bool paid = false;
   bool handed = false;
   // Its task is over or has gone on; only the slot is still counted.
   bool abandoned = false;
--- /dev/null
+++ b/packages/limits/src/group.cc
@@ -0,0 +1,267 @@
+#include "hibiscuspick/limits/group.h"
+
+#include <algorithm>
+
+#include "group_internal.h"
+
+namespace hibiscuspick::limits {
+namespace {
+
+using internal::Step;
+
+ServerState* FindServer(GroupState* state, const BackendServerId& id) {
+  for (auto& it : state->servers) {
+    if (it.config.id == id) return &it;
+  }
+  return nullptr;
+}
+
+ServerSet IndexesOf(const GroupState& state,
+                    const std::vector<BackendServerId>& ids) {
+  ServerSet set;
+  for (uint32_t i = 0; i < state.servers.size(); ++i) {
+    if (state.servers[i].removed) continue;
+    const auto& id = state.servers[i].config.id;
+    if (std::find(ids.begin(), ids.end(), id) != ids.end()) set.push_back(i);
+  }
+  return set;
+}
+
+// A server's new configuration. At another address another process answers, of
+// which nothing is known yet.
+void Reconfigure(ServerState* server, const settings::BackendServer& config,
+                 Millis now) {
+  const bool moved = server->config.address != config.address;
+  if (server->removed || moved) {
+    ServerState fresh;
+    fresh.in_flight = server->in_flight;
+    fresh.bulk_in_flight = server->bulk_in_flight;
+    fresh.abandoned = server->abandoned;
+    fresh.cold_since = now;
+    *server = fresh;
+  }
+  server->config = config;
+}
+
+void PrepareAll(const Step& step, uint32_t index) {
+  const int n = step.state->policy.connections.warm;
+  for (int i = 0; i < n; ++i) {
+    step.actions->emplace_back(PrepareConnection{index});
+  }
+}
+
+void Refuse(const Step& step, const NewTask& work, Code code) {
+  Decision decision;
+  decision.kind = DecisionKind::kRefuse;
+  decision.task = work.task;
+  decision.lane = work.lane;
+  decision.code = code;
+  decision.waiting = Waiting(step.state->queues);
+  step.actions->emplace_back(decision);
+  TaskDone done;
+  done.task = work.task;
+  done.code = code;
+  // No attempt was made: the task never got as far as the queue.
+  done.ran = Ran::kNo;
+  step.actions->emplace_back(done);
+}
+
+// When a task that waits for its turn at these servers would be answered, by
+// the work ahead of it and the latencies of late.
+Millis ExpectedEnd(const Step& step, const TaskState& task) {
+  const GroupState& state = *step.state;
+  int capacity = 0;
+  int taken = 0;
+  for (const uint32_t it : task.candidates) {
+    const ServerState& server = state.servers[it];
+    if (!TakesNewWork(server, step.now) || server.ejected) continue;
+    capacity += Capacity(server, state.policy, step.now);
+    taken += server.in_flight;
+  }
+  const Millis typical = internal::LaneLatency(state, task.work.lane, 0.5);
+  if (capacity == 0 || taken < capacity) return step.now + typical;
+  const bool lanes = state.policy.lanes_enabled;
+  const size_t ahead =
+      CountAhead(state.queues, lanes ? task.work.lane : Lane::kUrgent,
+                 lanes ? task.work.deadline : step.now);
+  const double turns = static_cast<double>(ahead + 1) / capacity;
+  return step.now + typical * turns + typical;
+}
+
+// The code to refuse the task with, kOk to take it.
+Code CheckAtTheDoor(const Step& step, const TaskState& task) {
+  const GroupState& state = *step.state;
+  const Lane lane = state.policy.lanes_enabled ? task.work.lane : Lane::kUrgent;
+  const size_t n = LaneIndex(lane);
+  if (state.queues.lanes[n].size >= state.policy.lanes[n].queue_limit) {
+    return Code::kQueueFull;
+  }
+  if (task.work.deadline <= step.now) return Code::kDeadlineUnreachable;
+  // Work that ends too late still takes the slots of work that would not. Under
+  // overload everything would then be answered late, and nothing in time.
+  if (state.policy.refusal_enabled &&
+      ExpectedEnd(step, task) > task.work.deadline) {
+    return Code::kDeadlineUnreachable;
+  }
+  return Code::kOk;
+}
+
+void CountRefusal(GroupCounters* counters, Code code) {
+  if (code == Code::kQueueFull) ++counters->refused_queue_full;
+  if (code == Code::kDeadlineUnreachable) ++counters->refused_unreachable;
+  if (code == Code::kNoServer) ++counters->refused_no_server;
+}
+
+void OnTaskDeadline(const Step& step, TaskId id) {
+  internal::FinishTask(step, id, Code::kDeadlineExceeded, {});
+}
+
+void OnHedgeTime(const Step& step, TaskId id) {
+  GroupState& state = *step.state;
+  const auto it = state.tasks.find(id);
+  if (it == state.tasks.end()) return;
+  TaskState& task = it->second;
+  if (task.hedged || task.waits || task.running.size() != 1) return;
+  const auto kind = AttemptKind::kHedge;
+  if (internal::EligibleServers(step, task, kind).empty()) return;
+  task.hedged = true;
+  if (!TakeBudget(&state.budget, state.policy.budget, step.now)) {
+    ++state.counters.hedges_denied;
+    step.actions->emplace_back(
+        internal::MakeDecision(step, DecisionKind::kHedgeDenied, task));
+    return;
+  }
+  task.paid = true;
+  const bool first =
+      state.policy.hedge.first_in_line && task.work.lane == Lane::kUrgent;
+  internal::QueueTask(step, &task, kind, first);
+  internal::StartWhatFits(step);
+  const auto after = state.tasks.find(id);
+  if (first || after == state.tasks.end() || !after->second.waits) return;
+  // Waiting its turn it would come too late to help, and take a slot from work
+  // that has had none yet.
+  internal::UnqueueTask(step, &after->second);
+  internal::ReturnIfPaid(step, &after->second.paid);
+}
+
+void OnTimer(const Step& step, const Timer& timer) {
+  switch (timer.kind) {
+    case TimerKind::kTask:
+      OnTaskDeadline(step, TaskId(timer.id));
+      return;
+    case TimerKind::kHedge:
+      OnHedgeTime(step, TaskId(timer.id));
+      return;
+    case TimerKind::kSlot:
+      internal::ReleaseSlot(step, AttemptId(timer.id));
+      return;
+    case TimerKind::kServer:
+      // A pause or an ejection is over: the caller looks for work to start.
+      return;
+  }
+}
+
+}  // namespace
+
+void Configure(GroupState* state,
+               const std::vector<settings::BackendServer>& servers,
+               const std::vector<BackendServerId>& drained,
+               const GroupPolicy& policy, Millis now, Random* random,
+               Actions* actions) {
+  const Step step{state, now, random, actions};
+  if (!state->configured) {
+    state->budget = {policy.budget.burst, now};
+  }
+  state->policy = policy;
+  std::vector<bool> named(state->servers.size(), false);
+  for (const auto& config : servers) {
+    ServerState* known = FindServer(state, config.id);
+    if (known != nullptr) {
+      Reconfigure(known, config, now);
+      named[static_cast<size_t>(known - state->servers.data())] = true;
+      continue;
+    }
+    ServerState fresh;
+    fresh.config = config;
+    // At this instance's own start all servers are new to it, yet warm.
+    if (state->configured) fresh.cold_since = now;
+    state->servers.push_back(fresh);
+    named.push_back(true);
+    PrepareAll(step, static_cast<uint32_t>(state->servers.size() - 1));
+  }
+  for (size_t i = 0; i < named.size(); ++i) {
+    ServerState& server = state->servers[i];
+    server.removed = !named[i];
+    server.drained = std::find(drained.begin(), drained.end(),
+                               server.config.id) != drained.end();
+  }
+  state->configured = true;
+  internal::RequeueAll(step);
+  internal::StartWhatFits(step);
+}
+
+void AddTask(GroupState* state, const NewTask& work, Millis now, Random* random,
+             Actions* actions) {
+  const Step step{state, now, random, actions};
+  ++state->counters.tasks;
+  TaskState task;
+  task.work = work;
+  task.added = now;
+  task.candidates = IndexesOf(*state, work.servers);
+  Code code = CheckAtTheDoor(step, task);
+  if (task.candidates.empty()) code = Code::kNoServer;
+  if (code != Code::kOk) {
+    CountRefusal(&state->counters, code);
+    Refuse(step, work, code);
+    return;
+  }
+  const auto it = state->tasks.emplace(work.task, std::move(task)).first;
+  state->timers.insert({work.deadline, TimerKind::kTask, work.task.value});
+  internal::QueueTask(step, &it->second, AttemptKind::kFirst, false);
+  internal::StartWhatFits(step);
+}
+
+void CancelTask(GroupState* state, TaskId task, Millis now, Random* random,
+                Actions* actions) {
+  const Step step{state, now, random, actions};
+  internal::ForgetTask(step, task);
+  internal::StartWhatFits(step);
+}
+
+void TakeServerNews(GroupState* state, const BackendServerId& id,
+                    Incarnation incarnation, bool draining, Millis now,
+                    Random* random, Actions* actions) {
+  const Step step{state, now, random, actions};
+  ServerState* server = FindServer(state, id);
+  if (server == nullptr) return;
+  if (!TakeNews(server, incarnation, draining, state->policy, now)) return;
+  Decision decision;
+  decision.kind = draining ? DecisionKind::kDrain : DecisionKind::kRestore;
+  decision.server = static_cast<uint32_t>(server - state->servers.data());
+  actions->emplace_back(decision);
+  if (!draining) PrepareAll(step, decision.server);
+  internal::RequeueAll(step);
+  internal::StartWhatFits(step);
+}
+
+void Tick(GroupState* state, Millis now, Random* random, Actions* actions) {
+  const Step step{state, now, random, actions};
+  while (!state->timers.empty() && state->timers.begin()->at <= now) {
+    const Timer timer = *state->timers.begin();
+    state->timers.erase(state->timers.begin());
+    OnTimer(step, timer);
+  }
+  internal::StartWhatFits(step);
+}
+
+Millis NextDue(const GroupState& state) {
+  return state.timers.empty() ? kNever : state.timers.begin()->at;
+}
+
+int SlotsInUse(const GroupState& state) {
+  int n = 0;
+  for (const auto& it : state.servers) n += it.in_flight;
+  return n;
+}
+
+}  // namespace hibiscuspick::limits
--- /dev/null
+++ b/packages/limits/src/group_policy.cc
@@ -0,0 +1,17 @@
+#include "hibiscuspick/limits/group_policy.h"
+
+namespace hibiscuspick::limits {
+
+GroupPolicy DirectBaseline() {
+  GroupPolicy policy;
+  policy.slots_enabled = false;
+  policy.lanes_enabled = false;
+  policy.choice_enabled = false;
+  policy.refusal_enabled = false;
+  policy.hedge.enabled = false;
+  policy.connections.owner = false;
+  policy.slow_start = Millis(0);
+  return policy;
+}
+
+}  // namespace hibiscuspick::limits
--- /dev/null
+++ b/packages/limits/src/group_queue.cc
@@ -0,0 +1,245 @@
+#include <algorithm>
+#include <utility>
+
+#include "group_internal.h"
+
+namespace hibiscuspick::limits::internal {
+namespace {
+
+// A waiting attempt whose time left is under this quantile of the lane's
+// latency would nearly always end too late; its slot serves another better.
+constexpr double kHopelessQuantile = 0.05;
+
+bool Contains(const ServerSet& set, uint32_t server) {
+  return std::find(set.begin(), set.end(), server) != set.end();
+}
+
+bool RunsAt(const GroupState& state, const TaskState& task, uint32_t server) {
+  return std::any_of(task.running.begin(), task.running.end(), [&](auto& it) {
+    const auto attempt = state.attempts.find(it);
+    return attempt != state.attempts.end() && attempt->second.server == server;
+  });
+}
+
+// Whether the only servers the set offers are ejected ones. Then one attempt at
+// a time goes there all the same: a probe costs less than a shard that is
+// given up without asking.
+bool IsDesperate(const Step& step, const ServerSet& set) {
+  return std::all_of(set.begin(), set.end(), [&](uint32_t it) {
+    const ServerState& server = step.state->servers[it];
+    return server.ejected || !TakesNewWork(server, step.now);
+  });
+}
+
+ServerSet WithRoom(const Step& step, Lane lane, const ServerSet& set) {
+  const bool desperate = IsDesperate(step, set);
+  ServerSet found;
+  for (const uint32_t it : set) {
+    if (HasRoom(step.state->servers[it], step.state->policy, lane, step.now,
+                desperate)) {
+      found.push_back(it);
+    }
+  }
+  return found;
+}
+
+// The better of two taken at random: always taking the best would send all
+// instances to the same server at once.
+uint32_t Choose(const Step& step, const ServerSet& set) {
+  const size_t first = step.random->Below(set.size());
+  if (!step.state->policy.choice_enabled || set.size() == 1) return set[first];
+  size_t second = step.random->Below(set.size() - 1);
+  if (second >= first) ++second;
+  const auto cost = [&](size_t n) {
+    return Cost(step.state->servers[set[n]], step.state->policy, step.now);
+  };
+  return cost(second) < cost(first) ? set[second] : set[first];
+}
+
+void Start(const Step& step, TaskState* task, uint32_t index) {
+  GroupState& state = *step.state;
+  ServerState& server = state.servers[index];
+  const AttemptId id(state.next_attempt++);
+  AttemptState& attempt = state.attempts[id];
+  attempt.task = task->work.task;
+  attempt.server = index;
+  attempt.lane = task->work.lane;
+  attempt.version = task->work.version;
+  attempt.deadline = task->work.deadline;
+  attempt.kind = task->next_kind;
+  attempt.paid = task->paid;
+  task->paid = false;
+  ++server.in_flight;
+  if (task->work.lane == Lane::kBulk) ++server.bulk_in_flight;
+  task->running.push_back(id);
+  task->tried.push_back(index);
+  Decision decision = MakeDecision(step, DecisionKind::kStart, *task);
+  decision.attempt = id;
+  decision.server = index;
+  step.actions->emplace_back(decision);
+  step.actions->emplace_back(StartAttempt{
+      id, task->work.task, index, task->work.deadline, task->next_kind});
+}
+
+bool IsHopeless(const Step& step, const TaskState& task) {
+  if (!step.state->policy.refusal_enabled) return false;
+  const Millis least =
+      LaneLatency(*step.state, task.work.lane, kHopelessQuantile);
+  return step.now + least > task.work.deadline;
+}
+
+void DropHopeless(const Step& step, const TaskState& task) {
+  ++step.state->counters.dropped_waiting;
+  Decision decision = MakeDecision(step, DecisionKind::kDrop, task);
+  decision.code = Code::kDeadlineUnreachable;
+  step.actions->emplace_back(decision);
+  const Code code =
+      task.last_code == Code::kOk ? Code::kDeadlineUnreachable : task.last_code;
+  FinishTask(step, task.work.task, code, {});
+}
+
+// Deals with the entry at the head: starts it, or puts it where it belongs if
+// servers have changed since.
+void TakeHead(const Step& step, const QueuePlace& place) {
+  TaskState& task = step.state->tasks.at(place.entry.task);
+  const bool first_in_line = !place.entry.in_order;
+  UnqueueTask(step, &task);
+  if (task.running.empty() && IsHopeless(step, task)) {
+    DropHopeless(step, task);
+    return;
+  }
+  const ServerSet now_eligible = EligibleServers(step, task, task.next_kind);
+  if (now_eligible != place.servers) {
+    QueueTask(step, &task, task.next_kind, first_in_line);
+    return;
+  }
+  Start(step, &task,
+        Choose(step, WithRoom(step, task.work.lane, place.servers)));
+}
+
+// Nothing may take the task now. A hedge is simply not made; otherwise the
+// task ends, truthfully with the versions that are held instead if that is why.
+void GiveUp(const Step& step, TaskState* task) {
+  if (!task->running.empty()) return;
+  Code code = task->last_code == Code::kOk ? Code::kNoServer : task->last_code;
+  for (const uint32_t it : task->candidates) {
+    const ServerState& server = step.state->servers[it];
+    if (!TakesNewWork(server, step.now)) continue;
+    if (!KnownToLack(server, task->work.version, step.state->policy,
+                     step.now)) {
+      continue;
+    }
+    code = Code::kVersionNotHeld;
+    for (const auto& version : server.held.versions) {
+      task->held.push_back(version);
+    }
+  }
+  if (code == Code::kNoServer) ++step.state->counters.refused_no_server;
+  Decision decision = MakeDecision(step, DecisionKind::kRefuse, *task);
+  decision.code = code;
+  step.actions->emplace_back(decision);
+  FinishTask(step, task->work.task, code, {});
+}
+
+}  // namespace
+
+ServerSet EligibleServers(const Step& step, const TaskState& task,
+                          AttemptKind kind) {
+  const GroupState& state = *step.state;
+  ServerSet untried;
+  ServerSet tried;
+  for (const uint32_t it : task.candidates) {
+    const ServerState& server = state.servers[it];
+    if (!TakesNewWork(server, step.now)) continue;
+    if (KnownToLack(server, task.work.version, state.policy, step.now)) {
+      continue;
+    }
+    if (RunsAt(state, task, it)) continue;
+    (Contains(task.tried, it) ? tried : untried).push_back(it);
+  }
+  if (kind == AttemptKind::kHedge || !untried.empty()) return untried;
+  return tried;
+}
+
+void QueueTask(const Step& step, TaskState* task, AttemptKind kind,
+               bool first_in_line) {
+  GroupState& state = *step.state;
+  ServerSet servers = EligibleServers(step, *task, kind);
+  if (servers.empty()) {
+    ReturnIfPaid(step, &task->paid);
+    GiveUp(step, task);
+    return;
+  }
+  const bool lanes = state.policy.lanes_enabled;
+  task->next_kind = kind;
+  task->waits = true;
+  task->place.lane = lanes ? task->work.lane : Lane::kUrgent;
+  task->place.servers = std::move(servers);
+  task->place.entry = {.in_order = !first_in_line,
+                       .order = lanes ? task->work.deadline : task->added,
+                       .sequence = state.next_sequence++,
+                       .task = task->work.task};
+  Enqueue(&state.queues, task->place);
+}
+
+void UnqueueTask(const Step& step, TaskState* task) {
+  if (!task->waits) return;
+  Dequeue(&step.state->queues, task->place);
+  task->waits = false;
+}
+
+void RequeueAll(const Step& step) {
+  std::vector<TaskId> waiting;
+  for (const auto& lane : step.state->queues.lanes) {
+    for (const auto& it : lane.by_servers) {
+      for (const auto& entry : it.second) waiting.push_back(entry.task);
+    }
+  }
+  for (const TaskId it : waiting) {
+    TaskState& task = step.state->tasks.at(it);
+    const bool first_in_line = !task.place.entry.in_order;
+    UnqueueTask(step, &task);
+    QueueTask(step, &task, task.next_kind, first_in_line);
+  }
+}
+
+void StartWhatFits(const Step& step) {
+  GroupState& state = *step.state;
+  const auto fits = [&](Lane lane, const ServerSet& set) {
+    return !WithRoom(step, lane, set).empty();
+  };
+  while (Waiting(state.queues) > 0) {
+    const auto place = NextToStart(&state.queues, state.policy.lanes, fits);
+    if (!place) return;
+    TakeHead(step, *place);
+  }
+}
+
+void ReturnIfPaid(const Step& step, bool* paid) {
+  if (*paid) ReturnBudget(&step.state->budget, step.state->policy.budget);
+  *paid = false;
+}
+
+Millis LaneLatency(const GroupState& state, Lane lane, double quantile) {
+  const LatencySketch* best = &state.latency[LaneIndex(lane)];
+  for (const auto& it : state.latency) {
+    if (best->total >= kEnoughSamples) break;
+    if (it.total > best->total) best = &it;
+  }
+  if (best->total < kEnoughSamples) return Millis(0);
+  return Quantile(*best, quantile);
+}
+
+Decision MakeDecision(const Step& step, DecisionKind kind,
+                      const TaskState& task) {
+  Decision decision;
+  decision.kind = kind;
+  decision.task = task.work.task;
+  decision.lane = task.work.lane;
+  decision.attempt_kind = task.next_kind;
+  decision.waited = step.now - task.added;
+  decision.waiting = Waiting(step.state->queues);
+  return decision;
+}
+
+}  // namespace hibiscuspick::limits::internal
--- /dev/null
+++ b/packages/limits/src/latency_sketch.cc
@@ -0,0 +1,47 @@
+#include "hibiscuspick/limits/latency_sketch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscuspick::limits {
+namespace {
+
+constexpr double kLowest = 0.05;
+constexpr double kGrowth = 1.08;
+
+size_t BucketOf(Millis latency) {
+  if (latency.count <= kLowest) return 0;
+  const double n = std::log(latency.count / kLowest) / std::log(kGrowth);
+  return std::min(static_cast<size_t>(n), LatencySketch::kBuckets - 1);
+}
+
+void Halve(LatencySketch* sketch) {
+  for (float& it : sketch->counts) it /= 2;
+  sketch->total /= 2;
+}
+
+}  // namespace
+
+void AddSample(LatencySketch* sketch, Millis latency) {
+  if (sketch->total >= LatencySketch::kDecayAfter) Halve(sketch);
+  sketch->counts[BucketOf(latency)] += 1;
+  sketch->total += 1;
+}
+
+Millis Quantile(const LatencySketch& sketch, double quantile) {
+  if (sketch.total <= 0) return Millis(0);
+  const double wanted = quantile * static_cast<double>(sketch.total);
+  double seen = 0;
+  for (size_t i = 0; i < LatencySketch::kBuckets; ++i) {
+    const double n = static_cast<double>(sketch.counts[i]);
+    if (n > 0 && seen + n >= wanted) {
+      const double share = (wanted - seen) / n;
+      return Millis(kLowest *
+                    std::pow(kGrowth, static_cast<double>(i) + share));
+    }
+    seen += n;
+  }
+  return Millis(kLowest * std::pow(kGrowth, LatencySketch::kBuckets));
+}
+
+}  // namespace hibiscuspick::limits
--- /dev/null
+++ b/packages/limits/src/server_state.cc
@@ -0,0 +1,130 @@
+#include "hibiscuspick/limits/server_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscuspick::limits {
+namespace {
+
+// Weight of the newest latency in the mean.
+constexpr double kLatencyWeight = 0.1;
+// A cold server is first taken for ten times as slow as it measures.
+constexpr double kLeastWarmth = 0.1;
+// Stands for the latency of a server that has none yet, so that load decides.
+constexpr double kLeastLatency = 0.1;
+constexpr int kMaxDoublings = 16;
+
+// From 0, just started, to 1, warm.
+double Warmth(const ServerState& server, const GroupPolicy& policy,
+              Millis now) {
+  const Millis age = now - server.cold_since;
+  if (age >= policy.slow_start) return 1;
+  return std::max(0.0, age.count / policy.slow_start.count);
+}
+
+int ConnectionShare(const ServerState& server, const ConnectionPolicy& policy) {
+  const int reserve =
+      std::clamp(policy.reserve, 0, server.config.max_connections - 1);
+  const int share =
+      policy.owner ? server.config.max_connections - reserve : reserve;
+  return std::max(1, share);
+}
+
+}  // namespace
+
+bool TakesNewWork(const ServerState& server, Millis now) {
+  if (server.removed || server.drained) return false;
+  return !server.draining || now >= server.draining_until;
+}
+
+int Capacity(const ServerState& server, const GroupPolicy& policy, Millis now) {
+  const int share = ConnectionShare(server, policy.connections);
+  const int full =
+      policy.slots_enabled ? std::min(server.config.slots, share) : share;
+  const double ramp = full * Warmth(server, policy, now);
+  return std::max(1, static_cast<int>(std::ceil(ramp)));
+}
+
+bool HasRoom(const ServerState& server, const GroupPolicy& policy, Lane lane,
+             Millis now, bool desperate) {
+  if (!TakesNewWork(server, now)) return false;
+  if (now < server.paused_until) return false;
+  if (server.ejected) {
+    // One attempt at a time finds out whether the server is back.
+    const bool probe = desperate || now >= server.ejected_until;
+    return probe && server.in_flight == 0;
+  }
+  const int capacity = Capacity(server, policy, now);
+  if (server.in_flight >= capacity) return false;
+  if (lane != Lane::kBulk || !policy.lanes_enabled || !policy.slots_enabled) {
+    return true;
+  }
+  // An export's attempts are long. If they held all slots, an urgent task that
+  // arrived just then would wait for one of them, and its caller would see a
+  // whole export's latency. A server of one slot is the exception: bulk would
+  // never run there.
+  return capacity == 1 || server.bulk_in_flight < capacity - 1;
+}
+
+bool KnownToLack(const ServerState& server, IndexVersion version,
+                 const GroupPolicy& policy, Millis now) {
+  const HeldVersions& held = server.held;
+  if (held.versions.empty() || now >= held.learned + policy.held_memory) {
+    return false;
+  }
+  return std::find(held.versions.begin(), held.versions.end(), version) ==
+         held.versions.end();
+}
+
+double Cost(const ServerState& server, const GroupPolicy& policy, Millis now) {
+  const double latency = std::max(server.latency.count, kLeastLatency);
+  const double warmth = std::max(kLeastWarmth, Warmth(server, policy, now));
+  return (server.in_flight + 1) * latency / warmth;
+}
+
+bool TakeNews(ServerState* server, Incarnation incarnation, bool draining,
+              const GroupPolicy& policy, Millis now) {
+  if (incarnation.value != 0 && incarnation < server->incarnation) return false;
+  const bool next_life = server->incarnation < incarnation;
+  const bool first_word = server->incarnation.value == 0;
+  if (next_life) server->incarnation = incarnation;
+  if (draining) {
+    const bool changed = !server->draining || next_life;
+    server->draining = true;
+    server->draining_until =
+        incarnation.value == 0 ? now + policy.drain_memory : kNever;
+    return changed;
+  }
+  // Within one life a server that drains never takes work again, so "not
+  // draining" of the same incarnation can only be old.
+  if (!next_life) return false;
+  if (first_word && !server->draining) return false;
+  server->draining = false;
+  server->ejected = false;
+  server->failures_in_row = 0;
+  server->ejections = 0;
+  server->latency = Millis(0);
+  server->held = {};
+  server->cold_since = now;
+  return true;
+}
+
+void Eject(ServerState* server, const EjectionPolicy& policy, Millis now,
+           Random* random) {
+  const int doublings = std::min(server->ejections, kMaxDoublings);
+  const Millis span = Min(policy.max_span, policy.span * std::exp2(doublings));
+  server->ejected = true;
+  server->ejected_until = now + span * (0.75 + 0.5 * random->Fraction());
+  ++server->ejections;
+}
+
+void RecordLatency(ServerState* server, Millis latency) {
+  if (server->latency == Millis(0)) {
+    server->latency = latency;
+    return;
+  }
+  server->latency =
+      server->latency * (1 - kLatencyWeight) + latency * kLatencyWeight;
+}
+
+}  // namespace hibiscuspick::limits
--- /dev/null
+++ b/packages/limits/tests/group_test.cc
@@ -0,0 +1,157 @@
+#include "hibiscuspick/limits/group.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "group_fixture.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::limits {
+namespace {
+
+// How an attempt that fails is dealt with, by code.
+struct FailureRow {
+  Code code;
+  bool idempotent;
+  bool retried;
+  Ran ran;
+  int slots_after;
+};
+
+std::ostream& operator<<(std::ostream& out, const FailureRow& row) {
+  return out << CodeName(row.code) << (row.idempotent ? "" : " record");
+}
+
+constexpr FailureRow kFailures[] = {
+    {Code::kShed, true, true, Ran::kMaybe, 0},
+    {Code::kConnectFailed, true, true, Ran::kNo, 0},
+    {Code::kReadFailed, true, true, Ran::kMaybe, 1},
+    {Code::kBadReply, true, true, Ran::kMaybe, 0},
+    {Code::kWrongEcho, true, true, Ran::kMaybe, 1},
+    {Code::kBackendError, true, true, Ran::kMaybe, 0},
+    {Code::kReplyTooLarge, true, false, Ran::kMaybe, 1},
+    {Code::kShed, false, false, Ran::kMaybe, 0},
+    {Code::kConnectFailed, false, false, Ran::kNo, 0},
+    {Code::kReadFailed, false, false, Ran::kMaybe, 1},
+    {Code::kBackendError, false, false, Ran::kMaybe, 0},
+};
+
+}  // namespace
+
+// An attempt breaks in one of the ways a backend server can break it. A query's
+// shard is asked again elsewhere; a record never is, since its user would find
+// the claim twice. A slot whose attempt may still run stays taken.
+BOOST_DATA_TEST_CASE(a_failed_attempt, bdata::make(kFailures), row) {
+  GroupFixture group(2);
+  group.Add(Lane::kUrgent, Millis(200), row.idempotent);
+  const auto first = group.TakeHanded();
+  BOOST_REQUIRE(first.size() == 1u);
+  group.Finish(first[0].attempt, row.code);
+  BOOST_TEST(SlotsInUse(group.state) == row.slots_after + row.retried);
+  const auto second = group.TakeHanded();
+  BOOST_REQUIRE(second.size() == (row.retried ? 1u : 0u));
+  if (row.retried) {
+    BOOST_TEST(second[0].server != first[0].server);
+    group.Finish(second[0].attempt, Code::kConnectFailed);
+    group.Advance(Millis(250));
+  }
+  const auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].ran == row.ran));
+  group.Advance(Millis(250));
+  BOOST_TEST(SlotsInUse(group.state) == 0);
+}
+
+// Two servers of two slots get more work than they can run. Starting a fifth
+// attempt would make a server shed it, or hold it unseen behind the others.
+BOOST_AUTO_TEST_CASE(slots_are_never_exceeded) {
+  GroupFixture group(2);
+  for (int i = 0; i < 10; ++i) group.Add(Lane::kUrgent, Millis(200));
+  auto starts = group.TakeHanded();
+  BOOST_TEST(starts.size() == 4u);
+  BOOST_TEST(group.state.servers[0].in_flight == 2);
+  group.Finish(starts[0].attempt, Code::kOk);
+  BOOST_TEST(group.TakeHanded().size() == 1u);
+  BOOST_TEST(SlotsInUse(group.state) == 4);
+}
+
+// A server accepts an attempt and never answers. Its caller is told at the
+// deadline; the slot stays counted until then, since the server still works.
+BOOST_AUTO_TEST_CASE(a_hung_attempt_holds_its_slot_until_the_deadline) {
+  GroupPolicy policy;
+  policy.hedge.enabled = false;
+  GroupFixture group(1, policy, 1);
+  group.Add(Lane::kUrgent, Millis(100));
+  const auto hung = group.TakeHanded();
+  group.Add(Lane::kUrgent, Millis(300));
+  group.Advance(Millis(99));
+  BOOST_TEST(group.Take<StartAttempt>().empty());
+  group.Advance(Millis(1));
+  const auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].code == Code::kDeadlineExceeded));
+  BOOST_TEST(group.Take<CancelAttempt>().size() == 1u);
+  BOOST_TEST(group.Take<StartAttempt>().empty());
+  group.Advance(policy.slot_grace);
+  BOOST_TEST(group.Take<StartAttempt>().size() == 1u);
+  group.Finish(hung[0].attempt, Code::kOk);
+  BOOST_TEST(group.Take<TaskDone>().empty());
+  BOOST_TEST(SlotsInUse(group.state) == 1);
+}
+
+// A caller hangs up. Its attempt's slot comes free as soon as the server says
+// that it stopped, and not before.
+BOOST_AUTO_TEST_CASE(a_confirmed_cancel_frees_the_slot) {
+  GroupFixture group(1, {}, 1);
+  const TaskId task = group.Add(Lane::kUrgent, Millis(200));
+  const auto starts = group.TakeHanded();
+  group.Add(Lane::kUrgent, Millis(200));
+  CancelTask(&group.state, task, group.now, &group.random, &group.actions);
+  BOOST_TEST(group.Take<TaskDone>().empty());
+  BOOST_REQUIRE(group.Take<CancelAttempt>().size() == 1u);
+  BOOST_TEST(group.Take<StartAttempt>().empty());
+  ConfirmCancel(&group.state, starts[0].attempt, group.now, &group.random,
+                &group.actions);
+  BOOST_TEST(group.Take<StartAttempt>().size() == 1u);
+}
+
+// A server says that it drains between the choice and the socket. The attempt
+// must go elsewhere, and the task that has only that server ends unrun.
+BOOST_AUTO_TEST_CASE(a_drain_is_seen_at_the_last_moment) {
+  GroupFixture group(2);
+  const BackendServerId leaving("b0");
+  group.Add(Lane::kUrgent, Millis(200), true, {leaving});
+  group.Add(Lane::kUrgent, Millis(200), true, {leaving});
+  const auto starts = group.Take<StartAttempt>();
+  BOOST_REQUIRE(starts.size() == 2u);
+  BOOST_TEST(group.Hand(starts[0].attempt));
+  TakeServerNews(&group.state, leaving, Incarnation(3), true, group.now,
+                 &group.random, &group.actions);
+  BOOST_TEST(!group.Hand(starts[1].attempt));
+  auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].code == Code::kNoServer));
+  BOOST_TEST((done[0].ran == Ran::kNo));
+  group.Finish(starts[0].attempt, Code::kOk);
+  done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].code == Code::kOk));
+}
+
+// A reply's whole body arrives after the deadline, before the timer ran. The
+// caller was promised an answer by then; it is not counted as one.
+BOOST_AUTO_TEST_CASE(a_reply_after_the_deadline_does_not_count) {
+  GroupFixture group(1);
+  group.Add(Lane::kUrgent, Millis(100));
+  const auto starts = group.TakeHanded();
+  group.now += Millis(101);
+  group.Finish(starts[0].attempt, Code::kOk);
+  const auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].code == Code::kDeadlineExceeded));
+  BOOST_TEST(SlotsInUse(group.state) == 0);
+}
+
+}  // namespace hibiscuspick::limits
