--- /dev/null
+++ b/packages/routing/include/hibiscuspick/routing/query_runner.h
@@ -0,0 +1,81 @@
+// The threads' side of queries: a caller's thread runs its query's machine and
+// sleeps between events that other threads bring.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "hibiscuspick/routing/ask_budget.h"
+#include "hibiscuspick/routing/query.h"
+
+namespace hibiscuspick::routing {
+
+// How the runner reaches the rest of the process. Any of these may call back
+// into OnOutcomes or OnPeerFailed from within.
+struct RunnerPorts {
+  std::function<void(const InstanceId& to, const limits::PartRequest& part)>
+      send_part;
+  std::function<void(const limits::PartRequest& part)> run_local;
+  // `at` is this instance's own id for a part that runs here.
+  std::function<void(const InstanceId& at, PartId part)> cancel_part;
+  // The instances to ask for a service's shards, best first, with the own id
+  // for "here"; for direct sending only the own id.
+  CandidatesOf candidates;
+};
+
+class QueryRunner {
+ public:
+  // `instance` and `incarnation` name this life of this instance in the fleet.
+  QueryRunner(InstanceId instance, Incarnation incarnation, RunnerPorts ports);
+
+  // Runs a query to its answer on the calling thread. `plans` gives the
+  // manifests known at that moment for the route; `stop` tells whether the
+  // caller is gone, and is asked every few milliseconds. `arrived` is when the
+  // request was read.
+  Answer Run(QueryRequest request, Millis arrived,
+             const std::function<Plans()>& plans,
+             const std::function<bool()>& stop);
+
+  // From any thread. Outcomes of queries that are no longer running are
+  // dropped.
+  void OnOutcomes(PartId part, std::vector<limits::ShardOutcome> outcomes);
+  void OnPeerFailed(const InstanceId& instance);
+
+  // Queries now running.
+  size_t running() const { return running_; }
+
+ private:
+  struct Inbox;
+  struct Stripe {
+    std::mutex mutex;
+    std::unordered_map<QueryId, std::shared_ptr<Inbox>> inboxes;
+  };
+  static constexpr size_t kStripes = 16;
+
+  Stripe& StripeOf(QueryId id) { return stripes_[id.value % kStripes]; }
+  void Add(QueryId id, std::shared_ptr<Inbox> inbox);
+  void Remove(QueryId id);
+  bool Perform(const std::vector<Action>& actions, Answer* answer);
+  void Learn(const VersionSeen& seen);
+  HeldVersions HeldNow();
+
+  const InstanceId instance_;
+  const Incarnation incarnation_;
+  const RunnerPorts ports_;
+  std::array<Stripe, kStripes> stripes_;
+  std::atomic<uint64_t> last_query_{0};
+  std::atomic<size_t> running_{0};
+  std::mutex held_mutex_;
+  HeldVersions held_;
+  std::atomic<bool> held_empty_{true};
+  std::mutex budget_mutex_;
+  AskBudget budget_;
+};
+
+}  // namespace hibiscuspick::routing
