Query routing: pin, ask, merge and answer

Change: a pure machine (packages/routing query.h) that pins a manifest, sends one part an instance, asks again elsewhere within a budget, starts again on another version when too many shards dropped the pinned one, and answers as early as the route's preference allows; the runner that blocks a caller's thread on it; customers' limits.

--- a/packages/routing/include/hibiscuspick/routing/query.h
+++ b/packages/routing/include/hibiscuspick/routing/query.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -128,7 +129,10 @@
   uint32_t generation = 0;
   // Indexes into the pinned plan's shards that are not yet reported.
   std::vector<size_t> waiting;
+  // When it counts as silent unless something comes; kNever for parts run here,
+  // and once its shards were asked for elsewhere.
   Millis silent_at = kNever;
+  bool cancelled = false;
 };
 
 struct ShardState {
--- /dev/null
+++ b/packages/routing/src/customer_limits.cc
@@ -0,0 +1,84 @@
+#include "hibiscuspick/routing/customer_limits.h"
+
+#include <algorithm>
+
+namespace hibiscuspick::routing {
+namespace {
+
+// How often a full table is searched for customers to forget; without it a
+// flood of new names would pay for a whole search each.
+constexpr Millis kSweepEvery{1000};
+
+// The entry of all names that find no place of their own. No customer can be
+// called so, since names from outside are printable.
+constexpr char kOverflowName[] = "\x01overflow";
+
+constexpr Millis kRetrySoon{1000};
+
+double BurstOf(const CustomerRules& rules) {
+  return std::max(1.0, rules.burst);
+}
+
+void Fill(CustomerUse* use, const CustomerRules& rules, Millis now) {
+  const double earned =
+      (now - use->filled).count / 1000 * rules.requests_per_second;
+  use->tokens = std::min(BurstOf(rules), use->tokens + std::max(0.0, earned));
+  use->filled = now;
+}
+
+// Forgets customers that have been quiet for long enough to have a full bucket
+// under the rules asked with; a wrong guess costs one burst.
+void Sweep(CustomerLimits* limits, const CustomerRules& rules, Millis now) {
+  if (limits->swept.count > 0 && now - limits->swept < kSweepEvery) return;
+  limits->swept = now;
+  const double rate = std::max(rules.requests_per_second, 0.001);
+  const Millis quiet{BurstOf(rules) / rate * 1000};
+  std::erase_if(limits->uses, [&](const auto& it) {
+    return it.second.running == 0 && now - it.second.filled >= quiet;
+  });
+}
+
+CustomerUse* UseOf(CustomerLimits* limits, CustomerId* entry,
+                   const CustomerRules& rules, Millis now) {
+  const auto it = limits->uses.find(*entry);
+  if (it != limits->uses.end()) return &it->second;
+  if (limits->uses.size() >= limits->max_customers) Sweep(limits, rules, now);
+  if (limits->uses.size() >= limits->max_customers) {
+    *entry = CustomerId(kOverflowName);
+  }
+  const auto [place, added] = limits->uses.try_emplace(*entry);
+  if (added) place->second = CustomerUse{BurstOf(rules), now, 0};
+  return &place->second;
+}
+
+}  // namespace
+
+Admission Admit(CustomerLimits* limits, const CustomerId& customer,
+                const CustomerRules& rules, Millis now) {
+  Admission admission{false, customer, Millis(0)};
+  CustomerUse* use = UseOf(limits, &admission.entry, rules, now);
+  if (rules.concurrency > 0 && use->running >= rules.concurrency) {
+    admission.retry_after = kRetrySoon;
+    return admission;
+  }
+  if (rules.requests_per_second > 0) {
+    Fill(use, rules, now);
+    if (use->tokens < 1) {
+      const double missing = 1 - use->tokens;
+      admission.retry_after =
+          Millis(missing / rules.requests_per_second * 1000);
+      return admission;
+    }
+    use->tokens -= 1;
+  }
+  ++use->running;
+  admission.admitted = true;
+  return admission;
+}
+
+void Release(CustomerLimits* limits, const CustomerId& entry) {
+  const auto it = limits->uses.find(entry);
+  if (it != limits->uses.end() && it->second.running > 0) --it->second.running;
+}
+
+}  // namespace hibiscuspick::routing
--- /dev/null
+++ b/packages/routing/tests/customer_limits_test.cc
@@ -0,0 +1,91 @@
+#include "hibiscuspick/routing/customer_limits.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "hibiscuspick/routing/ask_budget.h"
+#include "hibiscuspick/routing/merge.h"
+
+namespace hibiscuspick::routing {
+
+const CustomerRules kRules{10, 2, 3};
+
+BOOST_AUTO_TEST_CASE(a_rate_admits_its_burst_and_then_by_time) {
+  CustomerLimits limits;
+  const CustomerId customer("skjermvern");
+  Millis now(1000);
+  BOOST_TEST(Admit(&limits, customer, kRules, now).admitted);
+  BOOST_TEST(Admit(&limits, customer, kRules, now).admitted);
+  const Admission refused = Admit(&limits, customer, kRules, now);
+  BOOST_TEST(!refused.admitted);
+  BOOST_TEST(refused.retry_after.count == 100);
+  now += refused.retry_after;
+  BOOST_TEST(Admit(&limits, customer, kRules, now).admitted);
+}
+
+BOOST_AUTO_TEST_CASE(concurrency_is_given_back) {
+  CustomerLimits limits;
+  const CustomerRules rules{0, 0, 1};
+  const CustomerId customer("c");
+  const Admission first = Admit(&limits, customer, rules, Millis(1));
+  BOOST_TEST(!Admit(&limits, customer, rules, Millis(1)).admitted);
+  BOOST_TEST(Admit(&limits, CustomerId("d"), rules, Millis(1)).admitted);
+  Release(&limits, first.entry);
+  BOOST_TEST(Admit(&limits, customer, rules, Millis(1)).admitted);
+}
+
+// Somebody sends a new customer name with each request. The memory stays
+// bounded, the names that find no place share one allowance, and a customer
+// known before keeps its own.
+BOOST_AUTO_TEST_CASE(many_names_can_not_fill_the_memory) {
+  CustomerLimits limits;
+  limits.max_customers = 100;
+  const CustomerRules rules{1, 1, 2};
+  const Admission known = Admit(&limits, CustomerId("known"), rules, Millis(1));
+  int admitted = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const CustomerId name("flood-" + std::to_string(i));
+    if (Admit(&limits, name, rules, Millis(2)).admitted) ++admitted;
+  }
+  BOOST_TEST(limits.uses.size() <= 101);
+  BOOST_TEST(admitted == 100);
+  Release(&limits, known.entry);
+  BOOST_TEST(Admit(&limits, CustomerId("known"), rules, Millis(1500)).admitted);
+}
+
+BOOST_AUTO_TEST_CASE(quiet_customers_make_room) {
+  CustomerLimits limits;
+  limits.max_customers = 10;
+  for (int i = 0; i < 10; ++i) {
+    const CustomerId name(std::to_string(i));
+    Release(&limits, Admit(&limits, name, kRules, Millis(1)).entry);
+  }
+  const Admission late =
+      Admit(&limits, CustomerId("new"), kRules, Millis(5000));
+  BOOST_TEST(late.entry.text == "new");
+  BOOST_TEST(limits.uses.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_budget_of_asking_again_is_earned) {
+  AskBudget budget{0.1, 5, 0};
+  Earn(&budget, 20);
+  BOOST_TEST(Spend(&budget, 2));
+  BOOST_TEST(!Spend(&budget, 1));
+  Earn(&budget, 1000);
+  BOOST_TEST(budget.left == 5);
+}
+
+BOOST_AUTO_TEST_CASE(hits_are_ordered_and_given_once) {
+  std::vector<AnswerHit> hits;
+  for (const char* id : {"b", "a", "c", "a"}) {
+    hits.push_back({{id, id[0] == 'c' ? 2.0 : 1.0, "{}"}, ShardId("p1")});
+  }
+  const auto merged = MergeHits(hits, 10);
+  BOOST_TEST_REQUIRE(merged.size() == 3);
+  BOOST_TEST(merged[0].hit.id == "c");
+  BOOST_TEST(merged[1].hit.id == "a");
+  BOOST_TEST(merged[2].hit.id == "b");
+  BOOST_TEST(MergeHits(hits, 1).size() == 1);
+}
+
+}  // namespace hibiscuspick::routing
--- /dev/null
+++ b/packages/routing/tests/query_driver.h
@@ -0,0 +1,111 @@
+// Drives one query's machine in tests with virtual time.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/routing/query.h"
+
+namespace hibiscuspick::routing {
+
+// A manifest of `n` shards with 100 documents each, named `prefix`1 and on,
+// two to a service.
+inline std::shared_ptr<const Plan> TestPlan(uint64_t version, int n,
+                                            const std::string& prefix = "p",
+                                            uint64_t documents = 100) {
+  settings::Snapshot snapshot;
+  snapshot.id = "v" + std::to_string(version);
+  snapshot.index_version = IndexVersion(version);
+  for (int i = 1; i <= n; ++i) {
+    snapshot.shards.push_back({ShardId(prefix + std::to_string(i)),
+                               ServiceId("s" + std::to_string((i - 1) / 2)),
+                               documents,
+                               {}});
+  }
+  return MakePlan(snapshot, settings::Route{}, [](const ServiceId& it) {
+    return std::vector{BackendServerId(it.text + "-a")};
+  });
+}
+
+inline limits::ShardOutcome Answered(const std::string& shard,
+                                     std::vector<limits::Hit> hits = {}) {
+  return {ShardId(shard), Code::kOk, Ran::kMaybe, 1, std::move(hits), {}};
+}
+
+inline limits::ShardOutcome Failed(const std::string& shard, Code code,
+                                   Ran ran = Ran::kMaybe) {
+  return {ShardId(shard), code, ran, ran == Ran::kNo ? 0U : 1U, {}, {}};
+}
+
+inline limits::ShardOutcome Refused(const std::string& shard,
+                                    std::vector<uint64_t> held) {
+  limits::ShardOutcome outcome = Failed(shard, Code::kVersionNotHeld);
+  for (const uint64_t it : held) outcome.held.emplace_back(it);
+  return outcome;
+}
+
+struct QueryDriver {
+  Plans plans;
+  // Every service has the same candidates.
+  std::vector<InstanceId> candidates{InstanceId("a"), InstanceId("b"),
+                                     InstanceId("self")};
+  bool may_ask_again = true;
+  QueryRequest request;
+  QueryState state;
+  Millis now{1000};
+  std::vector<SendPart> sent;
+  std::vector<CancelPart> cancelled;
+  std::vector<VersionSeen> seen;
+  std::optional<Answer> answer;
+
+  explicit QueryDriver(Plans known) : plans(std::move(known)) {
+    request.limit = 5;
+    request.deadline = Millis(100);
+    request.values.answer_reserve = Millis(0);
+    request.values.owner_timeout = Millis(30);
+    request.values.latency_grace = Millis(2);
+    request.values.prefer = settings::Prefer::kCoverage;
+  }
+
+  void Start(HeldVersions held = {}) {
+    state = MakeQuery(request, QueryId(7), now);
+    Do(Started{std::move(held)});
+  }
+
+  void Do(const Event& event) {
+    QueryWorld world;
+    world.self = InstanceId("self");
+    world.incarnation = Incarnation(3);
+    world.candidates = [this](const ServiceId&) { return candidates; };
+    world.plans = [this] { return plans; };
+    world.may_ask_again = [this](size_t) { return may_ask_again; };
+    for (const auto& it : Step(&state, event, world, now)) Keep(it);
+  }
+
+  void Keep(const Action& action) {
+    if (const auto* send = std::get_if<SendPart>(&action)) {
+      sent.push_back(*send);
+    } else if (const auto* cancel = std::get_if<CancelPart>(&action)) {
+      cancelled.push_back(*cancel);
+    } else if (const auto* version = std::get_if<VersionSeen>(&action)) {
+      seen.push_back(*version);
+    } else if (const auto* finish = std::get_if<Finish>(&action)) {
+      answer = finish->answer;
+    }
+  }
+
+  // Outcomes of the part that was sent as number `part`, from 0.
+  void Arrive(size_t part, std::vector<limits::ShardOutcome> outcomes) {
+    Do(OutcomesArrived{sent.at(part).part.origin.part, std::move(outcomes)});
+  }
+
+  void TickAt(double after_start) {
+    now = Millis(1000 + after_start);
+    Do(Tick{});
+  }
+};
+
+}  // namespace hibiscuspick::routing
--- /dev/null
+++ b/packages/routing/tests/query_test.cc
@@ -0,0 +1,282 @@
+#include "hibiscuspick/routing/query.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "query_driver.h"
+
+namespace hibiscuspick::routing {
+
+namespace data = boost::unit_test::data;
+
+BOOST_AUTO_TEST_CASE(all_shards_of_one_instance_travel_in_one_part) {
+  QueryDriver driver({TestPlan(7, 4)});
+  driver.Start();
+  BOOST_TEST_REQUIRE(driver.sent.size() == 1);
+  const auto& part = driver.sent[0].part;
+  BOOST_TEST(driver.sent[0].to.text == "a");
+  BOOST_TEST(part.shards.size() == 4);
+  BOOST_TEST(part.version.value == 7);
+  BOOST_TEST(part.time_left.count == 100);
+  BOOST_TEST(part.shards[2].servers[0].text == "s1-a");
+  BOOST_TEST((QueryOf(part.origin.part) == QueryId(7)));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_is_given_when_the_last_shard_arrives) {
+  QueryDriver driver({TestPlan(7, 3)});
+  driver.Start();
+  driver.Arrive(0, {Answered("p1", {{"d2", 0.5, "{}"}, {"d1", 0.5, "{}"}})});
+  driver.Arrive(0, {Answered("p2", {{"d9", 0.9, "{}"}})});
+  BOOST_TEST(!driver.answer.has_value());
+  driver.Arrive(0, {Answered("p3")});
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == 300);
+  BOOST_TEST(driver.answer->coverage == 1);
+  BOOST_TEST(driver.answer->attempts == 3);
+  BOOST_TEST_REQUIRE(driver.answer->hits.size() == 3);
+  BOOST_TEST(driver.answer->hits[0].hit.id == "d9");
+  BOOST_TEST(driver.answer->hits[0].shard.text == "p2");
+  BOOST_TEST(driver.answer->hits[1].hit.id == "d1");
+}
+
+struct EndCase {
+  std::string name;
+  settings::Prefer prefer;
+  double min_coverage;
+  int answered;
+  // When the answer is given, in milliseconds after the start.
+  double ends;
+  uint64_t covered;
+};
+std::ostream& operator<<(std::ostream& out, const EndCase& it) {
+  return out << it.name;
+}
+const EndCase kEnds[] = {
+    {"latency, enough there", settings::Prefer::kLatency, 0.5, 2, 2, 200},
+    {"latency, too little", settings::Prefer::kLatency, 0.9, 2, 100, 200},
+    {"latency, nothing asked for", settings::Prefer::kLatency, 0, 1, 2, 100},
+    {"coverage waits", settings::Prefer::kCoverage, 0.5, 3, 100, 300},
+};
+
+BOOST_DATA_TEST_CASE(the_preference_decides_how_long_to_wait, data::make(kEnds),
+                     it) {
+  QueryDriver driver({TestPlan(7, 4)});
+  driver.request.values.prefer = it.prefer;
+  driver.request.min_coverage = it.min_coverage;
+  driver.may_ask_again = false;
+  driver.Start();
+  for (int i = 1; i <= it.answered; ++i) {
+    driver.Arrive(0, {Answered("p" + std::to_string(i))});
+  }
+  driver.TickAt(it.ends - 0.5);
+  BOOST_TEST(!driver.answer.has_value());
+  driver.TickAt(it.ends);
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == it.covered);
+  BOOST_TEST(driver.answer->missing.size() ==
+             static_cast<size_t>(4 - it.answered));
+  BOOST_TEST((driver.answer->missing[0].code == Code::kDeadlineExceeded));
+  BOOST_TEST(driver.cancelled.size() == 1);
+}
+
+// A reply that was sent twice, or that belongs to something never asked for,
+// arrives while the query runs. Counted, it would claim coverage that is not
+// there or give a hit twice.
+BOOST_AUTO_TEST_CASE(only_the_first_whole_outcome_of_a_shard_counts) {
+  QueryDriver driver({TestPlan(7, 3)});
+  driver.Start();
+  driver.Arrive(0, {Answered("p1", {{"d1", 1, "{}"}})});
+  driver.Arrive(0, {Answered("p1", {{"d1", 1, "{}"}})});
+  driver.Arrive(0, {Answered("p99", {{"d99", 1, "{}"}})});
+  driver.Do(OutcomesArrived{PartId((7ULL << kPartBits) + 900),
+                            {Answered("p2"), Answered("p3")}});
+  BOOST_TEST(!driver.answer.has_value());
+  driver.TickAt(100);
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == 100);
+  BOOST_TEST(driver.answer->shards_answered == 1);
+  BOOST_TEST(driver.answer->hits.size() == 1);
+}
+
+// A backend server gives a score that is not a number, which no order can
+// place. A user would see hits in an order that changes from call to call.
+BOOST_AUTO_TEST_CASE(hits_that_can_not_be_ordered_fail_their_shard) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.Start();
+  driver.Arrive(0, {Answered("p1", {{"d1", std::nan(""), "{}"}}),
+                    Answered("p2", {{"d2", 1, "{}"}})});
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == 100);
+  BOOST_TEST((driver.answer->missing[0].code == Code::kBadReply));
+}
+
+// The owner of some shards hangs without closing its connection. The user gets
+// those shards from the next instance instead of waiting out the deadline, and
+// when the first one wakes up its outcomes change nothing.
+BOOST_AUTO_TEST_CASE(a_silent_owner_is_passed_over) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.Start();
+  driver.TickAt(29);
+  BOOST_TEST(driver.sent.size() == 1);
+  driver.TickAt(30);
+  BOOST_TEST_REQUIRE(driver.sent.size() == 2);
+  BOOST_TEST(driver.sent[1].to.text == "b");
+  BOOST_TEST(
+      (driver.sent[0].part.origin.part != driver.sent[1].part.origin.part));
+  BOOST_TEST(driver.sent[1].part.time_left.count == 70);
+  driver.Arrive(1, {Answered("p1", {{"d1", 1, "{}"}})});
+  driver.Arrive(0, {Answered("p1", {{"d1", 1, "{}"}}),
+                    Answered("p2", {{"d2", 1, "{}"}})});
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == 200);
+  BOOST_TEST(driver.answer->hits.size() == 2);
+  // Three outcomes, and the one that the second instance still works on.
+  BOOST_TEST(driver.answer->attempts == 4);
+  BOOST_TEST(driver.answer->asked_again == 1);
+  BOOST_TEST_REQUIRE(driver.cancelled.size() == 1);
+  BOOST_TEST(driver.cancelled[0].at.text == "b");
+}
+
+// Every owner is slow because there is too much work. Asking each part again
+// elsewhere would double the work; the budget forbids it, and the user gets
+// what the first owners manage.
+BOOST_AUTO_TEST_CASE(asking_again_stops_when_the_budget_is_spent) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.may_ask_again = false;
+  driver.Start();
+  driver.TickAt(30);
+  driver.TickAt(60);
+  BOOST_TEST(driver.sent.size() == 1);
+  driver.Arrive(0, {Answered("p1"), Answered("p2")});
+  BOOST_TEST(driver.answer->coverage == 1);
+}
+
+// An owner works on a long queue but says so. It is not taken for gone.
+BOOST_AUTO_TEST_CASE(an_empty_report_keeps_an_owner_from_counting_as_silent) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.Start();
+  driver.now = Millis(1025);
+  driver.Arrive(0, {});
+  driver.TickAt(50);
+  BOOST_TEST(driver.sent.size() == 1);
+  BOOST_TEST(NextDue(driver.state).count == 1055);
+}
+
+// Instances go down one after another, and the connection to each breaks. The
+// query ends up sending from here, and only then runs out of instances.
+BOOST_AUTO_TEST_CASE(failed_instances_are_passed_over_down_to_sending_here) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.Start();
+  driver.Do(PeerFailed{InstanceId("a")});
+  driver.Do(PeerFailed{InstanceId("b")});
+  BOOST_TEST_REQUIRE(driver.sent.size() == 3);
+  BOOST_TEST(driver.sent[2].to.text == "self");
+  driver.Arrive(2,
+                {Failed("p1", Code::kConnectFailed, Ran::kNo), Answered("p2")});
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST(driver.answer->documents_covered == 100);
+  BOOST_TEST((driver.answer->missing[0].code == Code::kConnectFailed));
+}
+
+// More instances are known than may be asked. The last try is made from here,
+// which works even when this instance is cut off from all others.
+BOOST_AUTO_TEST_CASE(the_last_try_is_sent_from_here) {
+  QueryDriver driver({TestPlan(7, 1)});
+  driver.candidates = {InstanceId("a"), InstanceId("b"), InstanceId("c"),
+                       InstanceId("d"), InstanceId("self")};
+  driver.Start();
+  driver.Do(PeerFailed{InstanceId("a")});
+  driver.Do(PeerFailed{InstanceId("b")});
+  BOOST_TEST(driver.sent.back().to.text == "self");
+}
+
+struct GiveUpCase {
+  std::string name;
+  std::vector<InstanceId> candidates;
+  Code failure;
+  Ran failure_ran;
+  Code code;
+  Ran ran;
+};
+std::ostream& operator<<(std::ostream& out, const GiveUpCase& it) {
+  return out << it.name;
+}
+const GiveUpCase kGiveUps[] = {
+    {"refused here",
+     {InstanceId("self")},
+     Code::kQueueFull,
+     Ran::kNo,
+     Code::kQueueFull,
+     Ran::kNo},
+    {"shed at a server",
+     {InstanceId("self")},
+     Code::kShed,
+     Ran::kMaybe,
+     Code::kShed,
+     Ran::kMaybe},
+    {"refused at another instance",
+     {InstanceId("a")},
+     Code::kQueueFull,
+     Ran::kNo,
+     Code::kQueueFull,
+     Ran::kMaybe},
+    {"failed at a server",
+     {InstanceId("self")},
+     Code::kBackendError,
+     Ran::kMaybe,
+     Code::kBackendError,
+     Ran::kMaybe},
+};
+
+// All shards fail for good long before the deadline. The caller is told at
+// once, and "not run" only when nothing left this instance.
+BOOST_DATA_TEST_CASE(a_query_without_hope_ends_at_once, data::make(kGiveUps),
+                     it) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.candidates = it.candidates;
+  driver.Start();
+  driver.now = Millis(1003);
+  driver.Arrive(0, {Failed("p1", it.failure, it.failure_ran),
+                    Failed("p2", it.failure, it.failure_ran)});
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST((driver.answer->code == it.code));
+  BOOST_TEST((driver.answer->ran == it.ran));
+  BOOST_TEST(driver.answer->took.count == 3);
+}
+
+// The deadline passes while a part runs here and has reported nothing: it may
+// be at a server this very moment, so the refusal must not promise otherwise.
+BOOST_AUTO_TEST_CASE(work_that_has_not_reported_may_have_run) {
+  QueryDriver driver({TestPlan(7, 1)});
+  driver.candidates = {InstanceId("self")};
+  driver.Start();
+  driver.TickAt(100);
+  BOOST_TEST_REQUIRE(driver.answer.has_value());
+  BOOST_TEST((driver.answer->code == Code::kDeadlineExceeded));
+  BOOST_TEST((driver.answer->ran == Ran::kMaybe));
+}
+
+// The caller closes its connection midway. Whatever still runs for it is
+// cancelled, so that nobody waits behind work that has no reader.
+BOOST_AUTO_TEST_CASE(a_caller_that_went_away_cancels_everything) {
+  QueryDriver driver({TestPlan(7, 2)});
+  driver.Start();
+  driver.TickAt(30);
+  driver.Do(CallerGone{});
+  BOOST_TEST((driver.answer->code == Code::kCallerGone));
+  BOOST_TEST(driver.cancelled.size() == 2);
+  driver.Arrive(0, {Answered("p1")});
+  BOOST_TEST(driver.cancelled.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_route_that_covers_nothing_has_no_snapshot) {
+  for (const Plans& plans : {Plans{}, Plans{TestPlan(7, 0)}}) {
+    QueryDriver driver(plans);
+    driver.Start();
+    BOOST_TEST_REQUIRE(driver.answer.has_value());
+    BOOST_TEST((driver.answer->code == Code::kNoSnapshot));
+    BOOST_TEST((driver.answer->ran == Ran::kNo));
+  }
+}
+
+}  // namespace hibiscuspick::routing
