Membership decisions and the mesh between instances, first version

Instances had no way to know of each other or to talk. Added: the member table with suspicion, tombstones and self-refutation; placement by rendezvous hashing; news of draining servers as a lattice; the control core that ties them to digests, pushes and the configuration store; and PeerMesh, which carries parts, outcomes, cancels and gossip over Thrift with hello, queues and loss detection.

--- a/packages/inner/include/hibiscuspick/inner/peer_mesh.h
+++ b/packages/inner/include/hibiscuspick/inner/peer_mesh.h
@@ -38,7 +38,7 @@
   size_t queued_traffic = 4096;
   size_t queued_control = 64;
   // Bytes that one deliver holds, about; the rest goes in the next.
-  size_t batch_bytes = 1 << 20;
+  size_t batch_bytes = 256 << 10;
 };
 
 struct MeshSettings {
@@ -57,8 +57,8 @@
   // block: the sender's next messages wait behind it.
   std::function<void(const InstanceId& from, Message message)> on_message;
   // Messages for the peer were lost, or another process answers at its
-  // address. From a writing thread, or from Send's caller when a queue is
-  // full. Must not call back into the mesh.
+  // address, or it hung up and may have lost what it had taken. From the
+  // connection's writing thread; may call Send.
   std::function<void(const InstanceId& peer)> on_peer_failed;
 };
 
@@ -69,7 +69,7 @@
   uint64_t messages_received = 0;
   uint64_t messages_dropped = 0;
   uint64_t refused_connections = 0;
-  // Bytes of payload in both directions of control messages and of all.
+  // Payload of frames.
   uint64_t bytes_sent = 0;
   uint64_t bytes_received = 0;
 };
@@ -99,8 +99,9 @@
 
   // Queues the message for the peer; returns at once. False if the peer's
   // address is not known, the queue is full, or the peer could not be
-  // connected to a moment ago: then nothing of it was sent. A message that was
-  // queued may still be lost, which on_peer_failed tells.
+  // connected to a moment ago: then nothing of it was sent, and the caller is
+  // told by this alone. A message that was queued may still be lost, which
+  // on_peer_failed tells.
   bool Send(const InstanceId& to, Message message);
 
   // The same, with the address given; an empty id takes whoever answers there.
--- /dev/null
+++ b/packages/inner/src/framed.cc
@@ -0,0 +1,61 @@
+#include "framed.h"
+
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <utility>
+
+namespace hibiscuspick::inner {
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::protocol::TProtocolFactory;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TTransport;
+
+constexpr int kMaxNesting = 16;
+
+class CountingFramed : public TFramedTransport {
+ public:
+  CountingFramed(std::shared_ptr<TTransport> inner,
+                 std::shared_ptr<TConfiguration> configuration,
+                 const ByteCounts& bytes)
+      : TFramedTransport(std::move(inner), std::move(configuration)),
+        bytes_(bytes) {}
+
+  void flush() override {
+    *bytes_.sent += static_cast<uint64_t>(wBase_ - wBuf_.get());
+    TFramedTransport::flush();
+  }
+
+ protected:
+  bool readFrame() override {
+    if (!TFramedTransport::readFrame()) return false;
+    *bytes_.received += static_cast<uint64_t>(rBound_ - rBase_);
+    return true;
+  }
+
+ private:
+  const ByteCounts bytes_;
+};
+
+}  // namespace
+
+std::shared_ptr<TTransport> MakeFramed(std::shared_ptr<TTransport> inner,
+                                       size_t max_frame,
+                                       const ByteCounts& bytes) {
+  const auto configuration = std::make_shared<TConfiguration>(
+      TConfiguration::DEFAULT_MAX_MESSAGE_SIZE, static_cast<int>(max_frame),
+      kMaxNesting);
+  return std::make_shared<CountingFramed>(std::move(inner), configuration,
+                                          bytes);
+}
+
+std::shared_ptr<TProtocolFactory> MakeProtocolFactory(size_t max_frame) {
+  const auto most = static_cast<int32_t>(max_frame);
+  return std::make_shared<TBinaryProtocolFactory>(most, most, true, true);
+}
+
+}  // namespace hibiscuspick::inner
--- /dev/null
+++ b/packages/inner/src/identity.h
@@ -0,0 +1,37 @@
+// What the mesh says of itself in every hello, shared by its threads.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "hibiscuspick/inner/peer_mesh.h"
+
+namespace hibiscuspick::inner {
+
+struct Identity {
+  InstanceId self;
+  DataCentreId data_centre;
+  std::string key;
+  Address address;
+  std::atomic<uint64_t> incarnation{0};
+};
+
+// Counters behind MeshCounts.
+struct Counters {
+  std::atomic<uint64_t> messages_sent{0};
+  std::atomic<uint64_t> frames_sent{0};
+  std::atomic<uint64_t> messages_received{0};
+  std::atomic<uint64_t> messages_dropped{0};
+  std::atomic<uint64_t> refused_connections{0};
+  std::atomic<uint64_t> bytes_sent{0};
+  std::atomic<uint64_t> bytes_received{0};
+};
+
+// Compares without stopping at the first difference, so that the time taken
+// does not tell a stranger how much of its guess was right. Costs nothing that
+// matters: it runs once for each connection.
+bool SameKey(std::string_view a, std::string_view b);
+
+}  // namespace hibiscuspick::inner
--- /dev/null
+++ b/packages/inner/src/listener.h
@@ -0,0 +1,56 @@
+// The listening side of the mesh: a thread for each connection, on Thrift's
+// threaded server.
+#pragma once
+
+#include <thrift/server/TThreadedServer.h>
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "hibiscuspick/base/result.h"
+#include "hibiscuspick/inner/peer_mesh.h"
+#include "identity.h"
+#include "strangers.h"
+
+namespace hibiscuspick::inner {
+
+class Listener {
+ public:
+  // `on_hello` hears each peer that was let in and where it listens itself.
+  using OnHello =
+      std::function<void(const InstanceId&, Incarnation, const Address&)>;
+
+  Listener(const MeshLimits& limits, Identity* identity, Counters* counters,
+           const MeshCallbacks* callbacks, OnHello on_hello);
+  ~Listener();
+
+  // Binds; gives the port in use.
+  Result<uint16_t> Start(const Address& address);
+  void Stop();
+
+ private:
+  class Starter;
+
+  void Serve();
+  void NoteListening(int port);
+  void NoteFailed(const std::string& why);
+
+  const MeshLimits limits_;
+  Identity* const identity_;
+  Counters* const counters_;
+  const MeshCallbacks* const callbacks_;
+  const OnHello on_hello_;
+  Strangers strangers_;
+  std::shared_ptr<apache::thrift::server::TThreadedServer> server_;
+  std::thread thread_;
+
+  std::mutex mutex_;
+  std::condition_variable started_;
+  int port_ = 0;
+  std::string failure_;
+};
+
+}  // namespace hibiscuspick::inner
--- /dev/null
+++ b/packages/inner/src/session.cc
@@ -0,0 +1,86 @@
+#include "session.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/inner/wire.h"
+
+namespace hibiscuspick::inner {
+namespace {
+
+int ToInt(Millis it) { return static_cast<int>(it.count); }
+
+}  // namespace
+
+Session::Session(const Context& context,
+                 std::shared_ptr<apache::thrift::transport::TSocket> socket)
+    : context_(context), socket_(std::move(socket)) {
+  stranger_ = context_.strangers->Enter(socket_->getSocketFD());
+}
+
+Session::~Session() { context_.strangers->Leave(stranger_); }
+
+Code Session::Judge(const wire::Hello& hello) const {
+  if (!SameKey(hello.key, context_.identity->key)) return Code::kPeerRefused;
+  if (hello.protocol_version < kOldestProtocolVersion) {
+    return Code::kPeerVersion;
+  }
+  // Our own address from a seed list, or a second process with our id.
+  const bool named =
+      !hello.instance.empty() && hello.instance != context_.identity->self.text;
+  return named ? Code::kOk : Code::kPeerRefused;
+}
+
+void Session::Admit(const wire::Hello& hello) {
+  admitted_ = true;
+  peer_ = InstanceId(hello.instance);
+  context_.strangers->Leave(stranger_);
+  socket_->setRecvTimeout(ToInt(context_.limits->idle_timeout));
+  const auto address = ParseAddress(hello.inner_address);
+  if (IsOk(address)) {
+    const auto life = static_cast<uint64_t>(hello.incarnation);
+    (*context_.on_hello)(peer_, Incarnation(life), ValueOf(address));
+  }
+}
+
+void Session::Refuse(const wire::Hello& hello, Code code) {
+  ++context_.counters->refused_connections;
+  if (hello.instance == context_.identity->self.text) return;
+  Log(Part::kMembers)
+      .warn("A connection was refused: {} (its version {}, ours {}).",
+            CodeName(code), hello.protocol_version, kProtocolVersion);
+}
+
+void Session::hello(wire::HelloReply& reply, const wire::Hello& hello) {
+  const Code code = Judge(hello);
+  reply.accepted = code == Code::kOk;
+  reply.code = static_cast<int32_t>(code);
+  reply.protocol_version = kProtocolVersion;
+  if (code == Code::kOk) {
+    Admit(hello);
+  } else {
+    Refuse(hello, code);
+  }
+  // Who listens here is told to those with the key only.
+  if (code == Code::kPeerRefused) return;
+  reply.instance = context_.identity->self.text;
+  reply.incarnation = static_cast<int64_t>(context_.identity->incarnation);
+}
+
+void Session::deliver(const std::vector<wire::Message>& messages) {
+  if (!admitted_) {
+    ++context_.counters->refused_connections;
+    ::shutdown(socket_->getSocketFD(), SHUT_RDWR);
+    return;
+  }
+  for (const auto& it : messages) {
+    auto message = FromWire(it);
+    if (!message) continue;
+    ++context_.counters->messages_received;
+    context_.callbacks->on_message(peer_, std::move(*message));
+  }
+}
+
+}  // namespace hibiscuspick::inner
--- /dev/null
+++ b/packages/inner/src/session.h
@@ -0,0 +1,50 @@
+// One incoming connection.
+#pragma once
+
+#include <thrift/transport/TSocket.h>
+
+#include <memory>
+#include <vector>
+
+#include "Inner.h"
+#include "identity.h"
+#include "listener.h"
+#include "strangers.h"
+
+namespace hibiscuspick::inner {
+
+// Hears nothing but hello until one with the right key and a supported version
+// has come; whoever delivers before is cut off.
+class Session : public wire::InnerIf {
+ public:
+  struct Context {
+    const MeshLimits* limits;
+    Identity* identity;
+    Counters* counters;
+    const MeshCallbacks* callbacks;
+    const Listener::OnHello* on_hello;
+    Strangers* strangers;
+  };
+
+  Session(const Context& context,
+          std::shared_ptr<apache::thrift::transport::TSocket> socket);
+  ~Session() override;
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void hello(wire::HelloReply& reply, const wire::Hello& hello) override;
+  void deliver(const std::vector<wire::Message>& messages) override;
+
+ private:
+  Code Judge(const wire::Hello& hello) const;
+  void Admit(const wire::Hello& hello);
+  void Refuse(const wire::Hello& hello, Code code);
+
+  const Context context_;
+  const std::shared_ptr<apache::thrift::transport::TSocket> socket_;
+  uint64_t stranger_ = 0;
+  bool admitted_ = false;
+  InstanceId peer_;
+};
+
+}  // namespace hibiscuspick::inner
--- a/packages/membership/include/hibiscuspick/membership/control_core.h
+++ b/packages/membership/include/hibiscuspick/membership/control_core.h
@@ -48,6 +48,9 @@
   size_t watchers = 2;
   // Without configuration for this long, an instance watches itself.
   Millis watch_without_config{3000};
+  // How much the platform's list may lag: a life younger than this that sees
+  // itself listed as leaving takes it for a former life's line.
+  Millis list_lag{60000};
 };
 
 struct ControlState {
@@ -69,6 +72,8 @@
   // What the published view was made from.
   uint64_t view_number = 0;
   uint64_t view_generation = 0;
+  uint64_t servers_generation = 0;
+  uint64_t view_servers_generation = 0;
   // The config digest of a generation of the store.
   uint64_t digest_generation = 0;
   uint64_t digest_hash = 0;
--- a/packages/membership/include/hibiscuspick/membership/member_table.h
+++ b/packages/membership/include/hibiscuspick/membership/member_table.h
@@ -19,6 +19,10 @@
   // and after which it counts as gone.
   Millis suspect_after{3000};
   Millis gone_after{10000};
+  // The same when most of the data centre has fallen silent at once.
+  Millis most_gone_after{60000};
+  // How long a member is asked last after the mesh failed to reach it.
+  Millis distrust_failed_for{5000};
   // Silence of another data centre after which its members are asked last.
   Millis data_centre_suspect_after{15000};
   // How long an instance that is gone is remembered, so that old gossip cannot
@@ -31,6 +35,8 @@
   // Own time of the last rise of the heartbeat or of the state.
   Millis heard;
   bool suspect = false;
+  // When the mesh last failed to reach it.
+  std::optional<Millis> failed;
 };
 
 struct MemberTable {
@@ -40,6 +46,9 @@
   std::map<InstanceId, Member> members;
   // Own time at which each other data centre was last heard from.
   std::map<DataCentreId, Millis> data_centres_heard;
+  // Whether a report that this instance is leaving is contradicted. The
+  // platform's list lags, and may show a former life of this instance's id.
+  bool refute_leaving = true;
   // Changes with everything that the view or the buckets show.
   uint64_t generation = 0;
 };
@@ -64,6 +73,9 @@
 bool MergeHeartbeat(MemberTable* table, const InstanceId& id, uint64_t beat,
                     Millis now);
 
+// The mesh could not reach the member: it is asked last for a while.
+void MarkFailed(MemberTable* table, const InstanceId& id, Millis now);
+
 struct SweepResult {
   std::vector<InstanceId> suspected;
   std::vector<InstanceId> trusted;
--- a/packages/membership/include/hibiscuspick/membership/server_news.h
+++ b/packages/membership/include/hibiscuspick/membership/server_news.h
@@ -3,6 +3,8 @@
 // reports the higher (incarnation, round, draining) wins.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -34,4 +36,10 @@
 ServerNews UndrainOf(const ServerNewsTable& table,
                      const BackendServerId& server);
 
+// Buckets of a digest, as for members.
+inline constexpr size_t kServerBuckets = 16;
+using ServerBuckets = std::array<uint32_t, kServerBuckets>;
+size_t ServerBucketOf(const BackendServerId& id);
+ServerBuckets BucketsOf(const ServerNewsTable& table);
+
 }  // namespace hibiscuspick::membership
--- /dev/null
+++ b/packages/membership/src/member_table.cc
@@ -0,0 +1,195 @@
+#include "hibiscuspick/membership/member_table.h"
+
+#include <algorithm>
+
+#include "hibiscuspick/base/hash.h"
+
+namespace hibiscuspick::membership {
+namespace {
+
+// Raises the own entry above a report that contradicts it.
+Merge MergeSelf(MemberTable* table, const MemberState& state) {
+  auto& self = SelfOf(table).state;
+  if (!Replaces(state, self)) return Merge::kOld;
+  ++table->generation;
+  if (state.incarnation > self.incarnation) {
+    // An earlier life had a higher number: its machine's clock was ahead. As
+    // long as ours is lower nobody believes a word of this instance.
+    self.incarnation = Incarnation(state.incarnation.value + 1);
+    self.refutations = 0;
+    return Merge::kRefuted;
+  }
+  const bool told_to_leave =
+      state.refutations == self.refutations && state.phase == Phase::kLeaving;
+  if (told_to_leave && !table->refute_leaving) {
+    self.phase = Phase::kLeaving;
+    return Merge::kChanged;
+  }
+  self.refutations = state.refutations + 1;
+  return Merge::kRefuted;
+}
+
+bool IsSilent(Millis silence, Millis limit) { return silence > limit; }
+
+// How the own data centre's others look from here.
+struct Silence {
+  size_t others = 0;
+  size_t silent = 0;
+};
+
+Silence SilenceOf(const MemberTable& table, const MemberLimits& limits,
+                  Millis now) {
+  Silence result;
+  for (const auto& [id, it] : table.members) {
+    if (id == table.self || it.state.phase == Phase::kGone) continue;
+    if (it.state.data_centre != table.data_centre) continue;
+    ++result.others;
+    if (IsSilent(now - it.heard, limits.suspect_after)) ++result.silent;
+  }
+  return result;
+}
+
+// Silence after which a member of the own data centre counts as gone. When
+// most are silent at once, it is more likely this instance that is cut off, or
+// a switch that will come back, and calling them all gone would only make each
+// of them contradict it: so, later.
+Millis GoneAfter(const MemberTable& table, const MemberLimits& limits,
+                 Millis now) {
+  constexpr size_t kFewest = 3;
+  const auto seen = SilenceOf(table, limits, now);
+  const bool most = seen.silent >= kFewest && seen.silent * 2 > seen.others;
+  return most ? limits.most_gone_after : limits.gone_after;
+}
+
+bool IsSuspect(const MemberTable& table, const MemberLimits& limits,
+               const Member& member, Millis now) {
+  if (member.failed && now - *member.failed < limits.distrust_failed_for) {
+    return true;
+  }
+  if (member.state.data_centre == table.data_centre) {
+    return IsSilent(now - member.heard, limits.suspect_after);
+  }
+  const auto it = table.data_centres_heard.find(member.state.data_centre);
+  return it == table.data_centres_heard.end() ||
+         IsSilent(now - it->second, limits.data_centre_suspect_after);
+}
+
+bool IsForgotten(const MemberTable& table, const MemberLimits& limits,
+                 const Member& member, Millis now) {
+  if (member.state.phase == Phase::kGone) {
+    return IsSilent(now - member.heard, limits.forget_after);
+  }
+  if (member.state.data_centre == table.data_centre) return false;
+  const auto it = table.data_centres_heard.find(member.state.data_centre);
+  return it != table.data_centres_heard.end() &&
+         IsSilent(now - it->second, limits.forget_after);
+}
+
+void JudgeSuspicion(MemberTable* table, const MemberLimits& limits, Millis now,
+                    Member* member, SweepResult* result) {
+  const bool suspect = IsSuspect(*table, limits, *member, now);
+  if (suspect == member->suspect) return;
+  member->suspect = suspect;
+  ++table->generation;
+  auto& list = suspect ? result->suspected : result->trusted;
+  list.push_back(member->state.id);
+}
+
+}  // namespace
+
+Member& SelfOf(MemberTable* table) { return table->members.at(table->self); }
+
+const Member& SelfOf(const MemberTable& table) {
+  return table.members.at(table.self);
+}
+
+Merge MergeMember(MemberTable* table, const MemberState& state, Millis now) {
+  if (state.id == table->self) return MergeSelf(table, state);
+  const auto it = table->members.find(state.id);
+  if (it == table->members.end()) {
+    // Taking the gone too would hand a forgotten one round for ever.
+    if (state.phase == Phase::kGone) return Merge::kOld;
+    table->members[state.id] = Member{state, now, false, std::nullopt};
+    table->data_centres_heard.try_emplace(state.data_centre, now);
+    ++table->generation;
+    return Merge::kChanged;
+  }
+  auto& known = it->second;
+  if (Replaces(state, known.state)) {
+    known = Member{state, now, false, std::nullopt};
+    ++table->generation;
+    return Merge::kChanged;
+  }
+  if (Replaces(known.state, state)) return Merge::kOld;
+  const bool risen = MergeHeartbeat(table, state.id, state.heartbeat, now);
+  return risen ? Merge::kHeartbeat : Merge::kOld;
+}
+
+bool MergeHeartbeat(MemberTable* table, const InstanceId& id, uint64_t beat,
+                    Millis now) {
+  if (id == table->self) return false;
+  const auto it = table->members.find(id);
+  if (it == table->members.end()) return false;
+  auto& known = it->second;
+  if (known.state.phase == Phase::kGone) return false;
+  if (beat <= known.state.heartbeat) return false;
+  known.state.heartbeat = beat;
+  known.heard = now;
+  return true;
+}
+
+void MarkFailed(MemberTable* table, const InstanceId& id, Millis now) {
+  const auto it = table->members.find(id);
+  if (it != table->members.end() && id != table->self) it->second.failed = now;
+}
+
+SweepResult Sweep(MemberTable* table, const MemberLimits& limits, Millis now) {
+  SweepResult result;
+  const Millis gone_after = GoneAfter(*table, limits, now);
+  for (auto& [id, it] : table->members) {
+    if (id == table->self) continue;
+    if (IsForgotten(*table, limits, it, now)) {
+      result.forgotten.push_back(id);
+      continue;
+    }
+    if (it.state.phase == Phase::kGone) continue;
+    if (it.state.data_centre == table->data_centre &&
+        IsSilent(now - it.heard, gone_after)) {
+      it.state.phase = Phase::kGone;
+      it.heard = now;
+      ++table->generation;
+      result.gone.push_back(id);
+      continue;
+    }
+    JudgeSuspicion(table, limits, now, &it, &result);
+  }
+  for (const auto& id : result.forgotten) {
+    table->members.erase(id);
+    ++table->generation;
+  }
+  return result;
+}
+
+void ForgivePause(MemberTable* table, Millis pause) {
+  for (auto& [id, it] : table->members) it.heard += pause;
+  for (auto& [id, it] : table->data_centres_heard) it += pause;
+}
+
+size_t MemberBucketOf(const InstanceId& id) {
+  return static_cast<size_t>(Hash(id.text) % kMemberBuckets);
+}
+
+MemberBuckets BucketsOf(const MemberTable& table) {
+  MemberBuckets buckets{};
+  for (const auto& [id, it] : table.members) {
+    if (it.state.phase == Phase::kGone) continue;
+    uint64_t hash = LifeKey(it.state);
+    hash = Hash(it.state.inner.ip, hash ^ it.state.inner.port);
+    hash = Hash(it.state.data_centre.text,
+                hash ^ static_cast<uint64_t>(it.state.phase));
+    buckets[MemberBucketOf(id)] ^= static_cast<uint32_t>(hash);
+  }
+  return buckets;
+}
+
+}  // namespace hibiscuspick::membership
