dispatch: the executor that runs parts against backend servers

Worker threads run one blocking attempt each on pooled connections, one timer thread ticks the groups, and replies count only if whole and matching.

--- a/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
+++ b/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
@@ -54,13 +54,15 @@
   Millis time_left;
 };
 
+// What became of a record.
 struct RecordOutcome {
-  // kOk: `result` is the server's answer. Without an attempt a limits code
-  // with kNo. kShed and kConnectFailed also did not run; kShed reached the
-  // server and says kMaybe. Any other may have run.
   Code code = Code::kOk;
+  // kNo only if nothing was handed to a socket. A server's own word that it
+  // did not run the record (kShed, kVersionNotHeld) is still kMaybe here, for
+  // the request reached it.
   Ran ran = Ran::kMaybe;
-  // The server's JSON body; with kRecordFailed its refusal.
+  // The body of the server's answer: its result with kOk, its reason with
+  // kRecordFailed.
   std::string result;
 };
 
--- /dev/null
+++ b/packages/dispatch/src/attempt_runner.cc
@@ -0,0 +1,117 @@
+#include "attempt_runner.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdint>
+#include <utility>
+
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/dispatch/reply_check.h"
+
+namespace hibiscuspick::dispatch {
+namespace {
+
+constexpr int kNotFoundStatus = 404;
+
+// Shard names come from operators and may hold any character; a slash or a
+// line break in one must not make another request of it.
+std::string EscapePath(const std::string& text) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  std::string escaped;
+  for (const char it : text) {
+    const auto byte = static_cast<unsigned char>(it);
+    const bool plain = std::isalnum(byte) != 0 || it == '-' || it == '_' ||
+                       it == '.' || it == '~';
+    if (plain) {
+      escaped += it;
+      continue;
+    }
+    escaped += '%';
+    escaped += kHex[byte >> 4];
+    escaped += kHex[byte & 15];
+  }
+  return escaped;
+}
+
+httplib::Request MakeAttemptRequest(const Job& job, const std::string& wire_id,
+                                    Millis time_left) {
+  const std::string verb = job.record ? "/record" : "/query";
+  auto request = http::MakeRequest(
+      "POST", "/v1/shards/" + EscapePath(job.shard.text) + verb,
+      job.record ? job.record->body : job.part->body);
+  request.set_header("X-Attempt-Id", wire_id);
+  request.set_header("X-Snapshot", std::to_string(job.version.value));
+  // Rounded down: the server must not work past the deadline.
+  const auto whole = static_cast<int64_t>(std::max(1.0, time_left.count));
+  request.set_header("X-Deadline-Ms", std::to_string(whole));
+  request.set_header("X-Lane", std::string(LaneName(job.lane)));
+  if (job.record) request.set_header("X-Record-Key", job.record->key);
+  return request;
+}
+
+}  // namespace
+
+std::string AttemptWireId(const InstanceId& instance, Incarnation incarnation,
+                          AttemptId attempt) {
+  return instance.text + "-" + std::to_string(incarnation.value) + "-" +
+         std::to_string(attempt.value);
+}
+
+AttemptResult SendAttempt(const AttemptOrder& order, const std::string& wire_id,
+                          const std::shared_ptr<http::Connection>& connection) {
+  AttemptResult result;
+  result.report.attempt = order.attempt;
+  const Millis begin = SteadyNow();
+  const Millis time_left = Max(Millis(1), order.deadline - begin);
+  auto reply = connection->Send(
+      MakeAttemptRequest(order.job, wire_id, time_left), time_left);
+  result.report.latency = SteadyNow() - begin;
+  if (!IsOk(reply)) {
+    result.report.code = ErrorOf(reply).code;
+    return result;
+  }
+  const ExpectedEcho expected{wire_id, order.job.version, order.server,
+                              order.job.record != nullptr};
+  CheckedReply checked = CheckReply(expected, ValueOf(reply));
+  result.report.code = checked.code;
+  result.report.held = std::move(checked.held);
+  result.report.draining = checked.draining;
+  result.report.incarnation = checked.incarnation;
+  result.content.hits = std::move(checked.hits);
+  if (order.job.record) result.content.body = std::move(ValueOf(reply).body);
+  // After a wrong echo the connection is out of step: what comes next on it
+  // may be another attempt's reply too.
+  result.reusable = checked.code != Code::kWrongEcho && connection->IsOpen();
+  return result;
+}
+
+CancelReply SendCancelRequest(
+    const std::string& wire_id,
+    const std::shared_ptr<http::Connection>& connection, Millis timeout) {
+  const auto reply = connection->Send(
+      http::MakeRequest("DELETE", "/v1/attempts/" + EscapePath(wire_id)),
+      timeout);
+  if (!IsOk(reply)) return {};
+  const int status = ValueOf(reply).status;
+  const bool done = status >= 200 && status < 300;
+  // 404: ended already. That the cancel overtook the request itself is possible
+  // in principle; the slot would then be one too many for that attempt's time,
+  // and the server sheds what it cannot take.
+  return {done || status == kNotFoundStatus, connection->IsOpen()};
+}
+
+bool WarmUp(const std::shared_ptr<http::Connection>& connection,
+            Millis timeout) {
+  const auto reply =
+      connection->Send(http::MakeRequest("GET", "/v1/health"), timeout);
+  return IsOk(reply) && connection->IsOpen();
+}
+
+void LogAttempt(const AttemptOrder& order, const AttemptResult& result) {
+  Log(Part::kBackend)
+      .debug("attempt {} at {} for {} ended {} after {:.1f} ms",
+             order.attempt.value, order.server.text, order.job.shard.text,
+             CodeName(result.report.code), result.report.latency.count);
+}
+
+}  // namespace hibiscuspick::dispatch
--- /dev/null
+++ b/packages/dispatch/src/part_executor.cc
@@ -0,0 +1,462 @@
+#include "hibiscuspick/dispatch/part_executor.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <shared_mutex>
+#include <thread>
+#include <utility>
+
+#include "attempt_runner.h"
+#include "decision_log.h"
+#include "executor_group.h"
+#include "hibiscuspick/http/connection_threads.h"
+#include "timers.h"
+
+namespace hibiscuspick::dispatch {
+namespace {
+
+using GroupPtr = std::shared_ptr<ExecutorGroup>;
+
+// How soon an abort that met a request just about to begin is repeated.
+constexpr Millis kAbortAgain{20};
+
+// {"query": …, "limit": 20}, with the query's text passed on as it came.
+std::string QueryBody(const limits::PartRequest& part) {
+  return "{\"query\":" + part.query +
+         ",\"limit\":" + std::to_string(part.limit) + "}";
+}
+
+limits::ShardOutcome NoServerOutcome(const ShardId& shard) {
+  limits::ShardOutcome outcome;
+  outcome.shard = shard;
+  outcome.code = Code::kNoServer;
+  // No group, so that no attempt can have been made.
+  outcome.ran = Ran::kNo;
+  return outcome;
+}
+
+RecordOutcome ToRecordOutcome(FinishedJob finished) {
+  const Code code = finished.outcome.code;
+  const bool has_answer = code == Code::kOk || code == Code::kRecordFailed;
+  return {code, finished.outcome.ran,
+          has_answer ? std::move(finished.body) : std::string()};
+}
+
+}  // namespace
+
+class PartExecutor::Impl {
+ public:
+  Impl(ExecutorOptions options, OnServerNews on_server_news)
+      : options_(std::move(options)),
+        on_server_news_(std::move(on_server_news)),
+        workers_(options_.max_workers),
+        timers_([this](const GroupPtr& group) { return OnDue(group); }) {}
+
+  void Apply(const std::vector<GroupConfig>& configs);
+  void Run(const limits::PartRequest& part, OnOutcomes on_outcomes);
+  void Cancel(const limits::PartOrigin& origin);
+  void TakeServerNews(const BackendServerId& server, Incarnation incarnation,
+                      bool draining);
+  RecordOutcome RunRecord(const RecordRequest& record);
+  size_t InFlight() const { return in_flight_; }
+  ExecutorMetrics Metrics();
+  void Stop();
+
+ private:
+  struct GroupTask {
+    GroupPtr group;
+    TaskId task;
+  };
+  using TasksByGroup =
+      std::map<GroupPtr, std::vector<std::pair<limits::NewTask, Job>>>;
+
+  GroupPtr FindGroup(const ServiceId& service);
+  std::vector<GroupPtr> AllGroups();
+  GroupPtr MakeGroup(const ServiceId& service);
+  // Sorts a part's shards by group; those without one are given back.
+  std::vector<limits::ShardOutcome> SortShards(
+      const limits::PartRequest& part, const std::shared_ptr<PartRun>& run,
+      TasksByGroup* tasks);
+
+  // Gives work to the threads, unless they are being stopped.
+  void Enqueue(std::function<void()> job);
+
+  // Does what an event asked for. No lock may be held.
+  void CarryOut(const GroupPtr& group, Effects effects);
+  void GiveOut(std::vector<FinishedJob> finished);
+  void GiveToPart(const std::shared_ptr<PartRun>& part,
+                  std::vector<limits::ShardOutcome> outcomes);
+  Millis OnDue(const GroupPtr& group);
+
+  // On worker threads.
+  void RunAttempt(const GroupPtr& group, const AttemptOrder& order);
+  void SendCancel(const GroupPtr& group, const CancelOrder& order);
+  void Prepare(const std::shared_ptr<ConnectionPool>& pool);
+
+  std::string WireId(AttemptId attempt) const {
+    return AttemptWireId(options_.instance, options_.incarnation, attempt);
+  }
+
+  const ExecutorOptions options_;
+  const OnServerNews on_server_news_;
+  ConnectionCounters connections_;
+  std::atomic<uint64_t> cancels_sent_{0};
+  std::atomic<uint64_t> cancels_confirmed_{0};
+  std::atomic<uint64_t> last_task_{0};
+  std::atomic<size_t> in_flight_{0};
+  std::atomic<bool> stopped_{false};
+
+  std::shared_mutex groups_mutex_;
+  std::map<ServiceId, GroupPtr> groups_;
+  // Groups of services that are gone, while something runs there.
+  std::vector<GroupPtr> retired_;
+  uint64_t last_group_ = 0;
+
+  std::mutex parts_mutex_;
+  std::map<limits::PartOrigin, std::vector<GroupTask>> parts_;
+
+  // Held to enqueue: the threads must not grow while Stop joins them.
+  std::mutex workers_mutex_;
+  http::ConnectionThreads workers_;
+  GroupTimers timers_;
+};
+
+void PartExecutor::Impl::Apply(const std::vector<GroupConfig>& configs) {
+  std::set<ServiceId> named;
+  for (const auto& it : configs) {
+    named.insert(it.service.id);
+    const GroupPtr group = MakeGroup(it.service.id);
+    CarryOut(group, group->Apply(it));
+  }
+  std::vector<GroupPtr> gone;
+  {
+    const std::unique_lock lock(groups_mutex_);
+    for (const auto& it : groups_) {
+      if (!named.contains(it.first)) gone.push_back(it.second);
+    }
+    for (const auto& it : gone) groups_.erase(it->service());
+    std::erase_if(retired_, [](auto& it) { return it->IsIdle(); });
+    retired_.insert(retired_.end(), gone.begin(), gone.end());
+  }
+  for (const auto& it : gone) CarryOut(it, it->Retire());
+}
+
+void PartExecutor::Impl::Run(const limits::PartRequest& part,
+                             OnOutcomes on_outcomes) {
+  if (part.shards.empty()) return;
+  const auto run = std::make_shared<PartRun>();
+  run->origin = part.origin;
+  run->on_outcomes = std::move(on_outcomes);
+  run->body = QueryBody(part);
+  run->version = part.version;
+  run->lane = part.lane;
+  run->outstanding = part.shards.size();
+  ++in_flight_;
+  TasksByGroup tasks;
+  auto unknown = SortShards(part, run, &tasks);
+  {
+    const std::lock_guard lock(parts_mutex_);
+    auto& entry = parts_[part.origin];
+    for (const auto& group : tasks) {
+      for (const auto& it : group.second) {
+        entry.push_back({group.first, it.first.task});
+      }
+    }
+  }
+  if (!unknown.empty()) GiveToPart(run, std::move(unknown));
+  for (auto& it : tasks) {
+    CarryOut(it.first, it.first->Add(std::move(it.second)));
+  }
+}
+
+std::vector<limits::ShardOutcome> PartExecutor::Impl::SortShards(
+    const limits::PartRequest& part, const std::shared_ptr<PartRun>& run,
+    TasksByGroup* tasks) {
+  std::vector<limits::ShardOutcome> unknown;
+  const Millis deadline = SteadyNow() + part.time_left;
+  for (const auto& it : part.shards) {
+    const GroupPtr group = FindGroup(it.service);
+    if (!group) {
+      unknown.push_back(NoServerOutcome(it.shard));
+      continue;
+    }
+    limits::NewTask task;
+    task.task = TaskId(++last_task_);
+    task.lane = part.lane;
+    task.deadline = deadline;
+    task.servers = it.servers;
+    task.version = part.version;
+    Job job;
+    job.part = run;
+    job.shard = it.shard;
+    job.version = part.version;
+    job.lane = part.lane;
+    (*tasks)[group].emplace_back(std::move(task), std::move(job));
+  }
+  return unknown;
+}
+
+void PartExecutor::Impl::Cancel(const limits::PartOrigin& origin) {
+  std::map<GroupPtr, std::vector<TaskId>> tasks;
+  {
+    const std::lock_guard lock(parts_mutex_);
+    const auto it = parts_.find(origin);
+    if (it == parts_.end()) return;
+    for (const auto& task : it->second) {
+      tasks[task.group].push_back(task.task);
+    }
+    parts_.erase(it);
+  }
+  --in_flight_;
+  for (const auto& it : tasks) CarryOut(it.first, it.first->Cancel(it.second));
+}
+
+void PartExecutor::Impl::TakeServerNews(const BackendServerId& server,
+                                        Incarnation incarnation,
+                                        bool draining) {
+  for (const auto& it : AllGroups()) {
+    if (!it->HasServer(server)) continue;
+    CarryOut(it, it->TakeNews(server, incarnation, draining));
+  }
+}
+
+RecordOutcome PartExecutor::Impl::RunRecord(const RecordRequest& record) {
+  const GroupPtr group = FindGroup(record.service);
+  if (!group) return {Code::kNoServer, Ran::kNo, ""};
+  const auto run = std::make_shared<RecordRun>();
+  run->key = record.key;
+  run->body = record.record;
+  limits::NewTask task;
+  task.task = TaskId(++last_task_);
+  task.lane = record.lane;
+  task.deadline = SteadyNow() + record.time_left;
+  task.servers = record.servers;
+  task.version = record.version;
+  task.idempotent = false;
+  Job job;
+  job.record = run;
+  job.shard = record.shard;
+  job.version = record.version;
+  job.lane = record.lane;
+  auto future = run->outcome.get_future();
+  ++in_flight_;
+  std::vector<std::pair<limits::NewTask, Job>> tasks;
+  tasks.emplace_back(std::move(task), std::move(job));
+  CarryOut(group, group->Add(std::move(tasks)));
+  return future.get();
+}
+
+ExecutorMetrics PartExecutor::Impl::Metrics() {
+  ExecutorMetrics metrics;
+  for (const auto& it : AllGroups()) metrics.groups.push_back(it->Metrics());
+  metrics.connections_opened = connections_.opened;
+  metrics.connections_open = connections_.open;
+  metrics.cancels_sent = cancels_sent_;
+  metrics.cancels_confirmed = cancels_confirmed_;
+  return metrics;
+}
+
+void PartExecutor::Impl::Stop() {
+  {
+    const std::lock_guard lock(workers_mutex_);
+    if (stopped_.exchange(true)) return;
+  }
+  auto groups = AllGroups();
+  {
+    const std::shared_lock lock(groups_mutex_);
+    groups.insert(groups.end(), retired_.begin(), retired_.end());
+  }
+  for (const auto& it : groups) {
+    Effects effects;
+    auto finished = it->CancelAll(&effects);
+    CarryOut(it, std::move(effects));
+    GiveOut(std::move(finished));
+  }
+  timers_.Stop();
+  for (const auto& it : groups) {
+    while (it->AbortRunning()) std::this_thread::yield();
+  }
+  workers_.shutdown();
+}
+
+GroupPtr PartExecutor::Impl::FindGroup(const ServiceId& service) {
+  const std::shared_lock lock(groups_mutex_);
+  const auto it = groups_.find(service);
+  return it == groups_.end() ? nullptr : it->second;
+}
+
+std::vector<GroupPtr> PartExecutor::Impl::AllGroups() {
+  const std::shared_lock lock(groups_mutex_);
+  std::vector<GroupPtr> all;
+  for (const auto& it : groups_) all.push_back(it.second);
+  return all;
+}
+
+GroupPtr PartExecutor::Impl::MakeGroup(const ServiceId& service) {
+  const std::unique_lock lock(groups_mutex_);
+  GroupPtr& group = groups_[service];
+  if (!group) {
+    const http::ConnectionLimits limits{options_.connect_timeout,
+                                        options_.max_reply};
+    group = std::make_shared<ExecutorGroup>(
+        service, ++last_group_, options_.seed, limits, &connections_);
+  }
+  return group;
+}
+
+void PartExecutor::Impl::Enqueue(std::function<void()> job) {
+  const std::lock_guard lock(workers_mutex_);
+  if (!stopped_) workers_.enqueue(std::move(job));
+}
+
+void PartExecutor::Impl::CarryOut(const GroupPtr& group, Effects effects) {
+  timers_.WakeBy(group, effects.due);
+  for (const auto& it : effects.aborts) it->Abort();
+  for (auto& it : effects.starts) {
+    Enqueue([this, group, order = std::move(it)] { RunAttempt(group, order); });
+  }
+  for (const auto& it : effects.decisions) {
+    LogDecision(group->service(), it.first, it.second);
+  }
+  GiveOut(std::move(effects.finished));
+  // An abort that met a request about to begin had no effect; unless repeated,
+  // a server that trickles its reply could hold the worker for ever.
+  if (!effects.aborts.empty()) {
+    timers_.WakeBy(group, SteadyNow() + kAbortAgain);
+  }
+  for (const auto& it : effects.cancels) {
+    Enqueue([this, group, it] { SendCancel(group, it); });
+  }
+  for (const auto& it : effects.prepare) {
+    Enqueue([this, it] { Prepare(it); });
+  }
+}
+
+void PartExecutor::Impl::GiveOut(std::vector<FinishedJob> finished) {
+  // One call for each part, since an event often ends several shards of one.
+  std::map<std::shared_ptr<PartRun>, std::vector<limits::ShardOutcome>> parts;
+  for (auto& it : finished) {
+    if (it.job.part) {
+      parts[it.job.part].push_back(std::move(it.outcome));
+      continue;
+    }
+    const auto record = it.job.record;
+    --in_flight_;
+    record->outcome.set_value(ToRecordOutcome(std::move(it)));
+  }
+  for (auto& it : parts) GiveToPart(it.first, std::move(it.second));
+}
+
+void PartExecutor::Impl::GiveToPart(
+    const std::shared_ptr<PartRun>& part,
+    std::vector<limits::ShardOutcome> outcomes) {
+  const size_t n = outcomes.size();
+  const bool last = part->outstanding.fetch_sub(n) == n;
+  part->on_outcomes(std::move(outcomes));
+  if (!last) return;
+  const std::lock_guard lock(parts_mutex_);
+  // Gone already if Cancel came between.
+  if (parts_.erase(part->origin) > 0) --in_flight_;
+}
+
+Millis PartExecutor::Impl::OnDue(const GroupPtr& group) {
+  Effects effects = group->Tick();
+  const Millis due = effects.due;
+  CarryOut(group, std::move(effects));
+  const bool overdue = group->AbortOverdue();
+  return overdue ? Min(due, SteadyNow() + kAbortAgain) : due;
+}
+
+void PartExecutor::Impl::RunAttempt(const GroupPtr& group,
+                                    const AttemptOrder& order) {
+  const auto connection =
+      order.job.record ? order.pool->TakeFresh() : order.pool->Take();
+  Effects effects;
+  const bool may_start = group->MayStart(order.attempt, connection, &effects);
+  CarryOut(group, std::move(effects));
+  if (!may_start) {
+    order.pool->Return(connection);
+    return;
+  }
+  AttemptResult result = SendAttempt(order, WireId(order.attempt), connection);
+  if (result.reusable) {
+    order.pool->Return(connection);
+  } else {
+    order.pool->Discard(connection);
+  }
+  const auto& report = result.report;
+  // Told before the outcome, so that whoever acts on the outcome knows it.
+  if (report.draining || report.incarnation.value != 0) {
+    if (on_server_news_) {
+      on_server_news_(order.server, report.incarnation, report.draining);
+    }
+  }
+  LogAttempt(order, result);
+  CarryOut(group, group->Finish(report, std::move(result.content)));
+}
+
+void PartExecutor::Impl::SendCancel(const GroupPtr& group,
+                                    const CancelOrder& order) {
+  const auto connection = order.pool->TakeSpare();
+  if (!connection) return;
+  ++cancels_sent_;
+  const CancelReply reply = SendCancelRequest(WireId(order.attempt), connection,
+                                              options_.connect_timeout);
+  if (reply.reusable) {
+    order.pool->Return(connection);
+  } else {
+    order.pool->Discard(connection);
+  }
+  if (!reply.confirmed) return;
+  ++cancels_confirmed_;
+  CarryOut(group, group->ConfirmCancel(order.attempt));
+}
+
+void PartExecutor::Impl::Prepare(const std::shared_ptr<ConnectionPool>& pool) {
+  const auto connection = pool->TakeToWarm();
+  if (!connection) return;
+  if (WarmUp(connection, options_.connect_timeout)) {
+    pool->Return(connection);
+  } else {
+    pool->Discard(connection);
+  }
+}
+
+PartExecutor::PartExecutor(ExecutorOptions options, OnServerNews on_server_news)
+    : impl_(std::make_unique<Impl>(std::move(options),
+                                   std::move(on_server_news))) {}
+
+PartExecutor::~PartExecutor() { Stop(); }
+
+void PartExecutor::Apply(const std::vector<GroupConfig>& groups) {
+  impl_->Apply(groups);
+}
+
+void PartExecutor::Run(const limits::PartRequest& part,
+                       OnOutcomes on_outcomes) {
+  impl_->Run(part, std::move(on_outcomes));
+}
+
+void PartExecutor::Cancel(const limits::PartOrigin& origin) {
+  impl_->Cancel(origin);
+}
+
+void PartExecutor::TakeServerNews(const BackendServerId& server,
+                                  Incarnation incarnation, bool draining) {
+  impl_->TakeServerNews(server, incarnation, draining);
+}
+
+RecordOutcome PartExecutor::RunRecord(const RecordRequest& record) {
+  return impl_->RunRecord(record);
+}
+
+size_t PartExecutor::InFlight() const { return impl_->InFlight(); }
+
+ExecutorMetrics PartExecutor::Metrics() const { return impl_->Metrics(); }
+
+void PartExecutor::Stop() { impl_->Stop(); }
+
+}  // namespace hibiscuspick::dispatch
--- /dev/null
+++ b/packages/dispatch/tests/executor_fixture.h
@@ -0,0 +1,109 @@
+// An executor, and a collector of what it gives out.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "hibiscuspick/dispatch/part_executor.h"
+
+namespace hibiscuspick::dispatch {
+
+// Longer than any test needs; only a hang reaches it.
+inline constexpr Millis kHangGuard{30000};
+
+inline ExecutorOptions TestOptions() {
+  ExecutorOptions options;
+  options.instance = InstanceId("osl-1-a");
+  options.incarnation = Incarnation(4);
+  options.max_reply = 1 << 20;
+  return options;
+}
+
+// Gathers the outcomes of one part.
+class Outcomes {
+ public:
+  PartExecutor::OnOutcomes Sink() {
+    return [this](std::vector<limits::ShardOutcome> outcomes) {
+      const std::lock_guard lock(mutex_);
+      for (auto& it : outcomes) {
+        ++times_[it.shard.text];
+        by_shard_[it.shard.text] = std::move(it);
+      }
+      changed_.notify_all();
+    };
+  }
+
+  // Waits until so many shards have an outcome; false if that hangs.
+  bool WaitFor(size_t n) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, kHangGuard.ToMicros(),
+                             [&] { return by_shard_.size() >= n; });
+  }
+  limits::ShardOutcome Of(const std::string& shard) {
+    const std::lock_guard lock(mutex_);
+    return by_shard_[shard];
+  }
+  // The most often any shard's outcome was given.
+  int MostTimes() {
+    const std::lock_guard lock(mutex_);
+    int most = 0;
+    for (const auto& it : times_) most = std::max(most, it.second);
+    return most;
+  }
+  size_t Count() {
+    const std::lock_guard lock(mutex_);
+    return by_shard_.size();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, limits::ShardOutcome> by_shard_;
+  std::map<std::string, int> times_;
+};
+
+inline GroupConfig MakeGroupConfig(std::vector<settings::BackendServer> servers,
+                                   const limits::GroupPolicy& policy = {}) {
+  return {{ServiceId("claims"), std::move(servers)}, policy, {}};
+}
+
+// A part of `n` shards p0, p1, … that every server of the config holds.
+inline limits::PartRequest MakePart(const GroupConfig& config, int n,
+                                    Millis time_left = kHangGuard) {
+  limits::PartRequest part;
+  part.origin = {InstanceId("osl-1-b"), Incarnation(2), PartId(9)};
+  part.lane = Lane::kUrgent;
+  part.version = IndexVersion(7);
+  part.time_left = time_left;
+  part.query = R"({"name": "Berg"})";
+  for (int i = 0; i < n; ++i) {
+    limits::ShardWork work;
+    work.shard = ShardId("p" + std::to_string(i));
+    work.service = config.service.id;
+    for (const auto& it : config.service.backend_servers) {
+      work.servers.push_back(it.id);
+    }
+    part.shards.push_back(work);
+  }
+  return part;
+}
+
+inline RecordRequest MakeRecord(const GroupConfig& config,
+                                Millis time_left = kHangGuard) {
+  RecordRequest record;
+  record.service = config.service.id;
+  record.shard = ShardId("p0");
+  for (const auto& it : config.service.backend_servers) {
+    record.servers.push_back(it.id);
+  }
+  record.version = IndexVersion(7);
+  record.key = "claim-1";
+  record.record = R"({"phone": "cracked"})";
+  record.time_left = time_left;
+  return record;
+}
+
+}  // namespace hibiscuspick::dispatch
--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -181,6 +181,7 @@
   uint64_t next_attempt = 1;
   GroupPolicy policy;
   std::vector<ServerState> servers;
+  std::unordered_map<BackendServerId, uint32_t> index_of;
   std::unordered_map<TaskId, TaskState> tasks;
   std::unordered_map<AttemptId, AttemptState> attempts;
   LaneQueues queues;
--- a/packages/limits/include/hibiscuspick/limits/server_state.h
+++ b/packages/limits/include/hibiscuspick/limits/server_state.h
@@ -49,6 +49,9 @@
 // Whether new attempts may go there as far as draining is concerned.
 bool TakesNewWork(const ServerState& server, Millis now);
 
+// Connections this instance may have open to the server.
+int ConnectionShare(const ServerState& server, const GroupPolicy& policy);
+
 // Attempts that may run there at once, from slots or connections and the ramp.
 int Capacity(const ServerState& server, const GroupPolicy& policy, Millis now);
 
--- a/packages/limits/src/group.cc
+++ b/packages/limits/src/group.cc
@@ -1,6 +1,7 @@
 #include "hibiscuspick/limits/group.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "group_internal.h"
 
@@ -10,20 +11,20 @@
 using internal::Step;
 
 ServerState* FindServer(GroupState* state, const BackendServerId& id) {
-  for (auto& it : state->servers) {
-    if (it.config.id == id) return &it;
-  }
-  return nullptr;
+  const auto it = state->index_of.find(id);
+  return it == state->index_of.end() ? nullptr : &state->servers[it->second];
 }
 
 ServerSet IndexesOf(const GroupState& state,
                     const std::vector<BackendServerId>& ids) {
   ServerSet set;
-  for (uint32_t i = 0; i < state.servers.size(); ++i) {
-    if (state.servers[i].removed) continue;
-    const auto& id = state.servers[i].config.id;
-    if (std::find(ids.begin(), ids.end(), id) != ids.end()) set.push_back(i);
+  for (const auto& id : ids) {
+    const auto it = state.index_of.find(id);
+    if (it == state.index_of.end()) continue;
+    if (!state.servers[it->second].removed) set.push_back(it->second);
   }
+  std::sort(set.begin(), set.end());
+  set.erase(std::unique(set.begin(), set.end()), set.end());
   return set;
 }
 
@@ -43,6 +44,23 @@
   server->config = config;
 }
 
+// Takes in one server's configuration; gives its index.
+uint32_t TakeConfig(GroupState* state, const settings::BackendServer& config,
+                    Millis now) {
+  const auto next = static_cast<uint32_t>(state->servers.size());
+  const auto [it, is_new] = state->index_of.emplace(config.id, next);
+  if (!is_new) {
+    Reconfigure(&state->servers[it->second], config, now);
+    return it->second;
+  }
+  ServerState fresh;
+  fresh.config = config;
+  // At this instance's own start all servers are new to it, yet warm.
+  if (state->configured) fresh.cold_since = now;
+  state->servers.push_back(std::move(fresh));
+  return next;
+}
+
 void PrepareAll(const Step& step, uint32_t index) {
   const int n = step.state->policy.connections.warm;
   for (int i = 0; i < n; ++i) {
@@ -172,22 +190,21 @@
   if (!state->configured) {
     state->budget = {policy.budget.burst, now};
   }
+  const bool becomes_owner =
+      policy.connections.owner &&
+      !(state->configured && state->policy.connections.owner);
   state->policy = policy;
   std::vector<bool> named(state->servers.size(), false);
   for (const auto& config : servers) {
-    ServerState* known = FindServer(state, config.id);
-    if (known != nullptr) {
-      Reconfigure(known, config, now);
-      named[static_cast<size_t>(known - state->servers.data())] = true;
-      continue;
+    const uint32_t index = TakeConfig(state, config, now);
+    const bool is_new = index >= named.size();
+    if (is_new) named.push_back(false);
+    named[index] = true;
+    // Only an owner opens connections ahead: all instances together would use
+    // up what the servers accept.
+    if (becomes_owner || (is_new && policy.connections.owner)) {
+      PrepareAll(step, index);
     }
-    ServerState fresh;
-    fresh.config = config;
-    // At this instance's own start all servers are new to it, yet warm.
-    if (state->configured) fresh.cold_since = now;
-    state->servers.push_back(fresh);
-    named.push_back(true);
-    PrepareAll(step, static_cast<uint32_t>(state->servers.size() - 1));
   }
   for (size_t i = 0; i < named.size(); ++i) {
     ServerState& server = state->servers[i];
@@ -239,7 +256,9 @@
   decision.kind = draining ? DecisionKind::kDrain : DecisionKind::kRestore;
   decision.server = static_cast<uint32_t>(server - state->servers.data());
   actions->emplace_back(decision);
-  if (!draining) PrepareAll(step, decision.server);
+  if (!draining && state->policy.connections.owner) {
+    PrepareAll(step, decision.server);
+  }
   internal::RequeueAll(step);
   internal::StartWhatFits(step);
 }
--- a/packages/limits/src/server_state.cc
+++ b/packages/limits/src/server_state.cc
@@ -22,23 +22,21 @@
   return std::max(0.0, age.count / policy.slow_start.count);
 }
 
-int ConnectionShare(const ServerState& server, const ConnectionPolicy& policy) {
-  const int reserve =
-      std::clamp(policy.reserve, 0, server.config.max_connections - 1);
-  const int share =
-      policy.owner ? server.config.max_connections - reserve : reserve;
-  return std::max(1, share);
-}
-
 }  // namespace
 
+int ConnectionShare(const ServerState& server, const GroupPolicy& policy) {
+  const int all = std::max(1, server.config.max_connections);
+  const int reserve = std::clamp(policy.connections.reserve, 0, all - 1);
+  return std::max(1, policy.connections.owner ? all - reserve : reserve);
+}
+
 bool TakesNewWork(const ServerState& server, Millis now) {
   if (server.removed || server.drained) return false;
   return !server.draining || now >= server.draining_until;
 }
 
 int Capacity(const ServerState& server, const GroupPolicy& policy, Millis now) {
-  const int share = ConnectionShare(server, policy.connections);
+  const int share = ConnectionShare(server, policy);
   const int full =
       policy.slots_enabled ? std::min(server.config.slots, share) : share;
   const double ramp = full * Warmth(server, policy, now);
