--- a/packages/http/include/hibiscuspick/http/server.h
+++ b/packages/http/include/hibiscuspick/http/server.h
@@ -8,9 +8,12 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/millis.h"
@@ -30,6 +33,15 @@
   Millis idle_timeout{60000};
 };
 
+// What a server does with each connection beyond its requests. Both run on the
+// connection's own thread.
+struct ConnectionHooks {
+  // Before the first byte is read; false closes the connection unread.
+  std::function<bool(socket_t)> opened;
+  // Before the socket is closed, also when `opened` gave false.
+  std::function<void(socket_t)> closed;
+};
+
 // Routes are added through httplib::Server's Get, Post, Put and Delete before
 // Start.
 class Server : public httplib::Server {
@@ -37,6 +49,9 @@
   explicit Server(ServerLimits limits);
   ~Server() override;
 
+  // Only before Start.
+  void SetConnectionHooks(ConnectionHooks hooks) { hooks_ = std::move(hooks); }
+
   // Binds and serves in a thread of its own. Port 0 in `address` takes any
   // free port. Errors: kConnectFailed if the address can't be bound.
   Result<Done> Start(const std::string& ip, uint16_t port);
@@ -57,7 +72,10 @@
  private:
   bool process_and_close_socket(socket_t sock) override;
 
+  void ServeConnection(socket_t sock);
+
   const ServerLimits limits_;
+  ConnectionHooks hooks_;
   std::atomic<bool> closing_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<int> busy_{0};
@@ -70,4 +88,12 @@
 // connection. False outside a handler.
 bool CallerGone();
 
+// Sends bytes to that caller as they are, around the library. For servers that
+// answer wrongly on purpose. False if they can't be sent, and outside a
+// handler.
+bool SendRaw(std::string_view bytes);
+
+// Closes that caller's connection; whatever the handler answers is lost.
+void DropCaller();
+
 }  // namespace hibiscuspick::http
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -116,6 +116,21 @@
   return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool SendRaw(std::string_view bytes) {
+  if (current_socket == INVALID_SOCKET) return false;
+  while (!bytes.empty()) {
+    const ssize_t n =
+        ::send(current_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n <= 0) return false;
+    bytes.remove_prefix(static_cast<size_t>(n));
+  }
+  return true;
+}
+
+void DropCaller() {
+  if (current_socket != INVALID_SOCKET) ::shutdown(current_socket, SHUT_RDWR);
+}
+
 Server::Server(ServerLimits limits) : limits_(limits) {
   set_tcp_nodelay(true);
   set_payload_max_length(limits.max_body);
@@ -159,6 +174,14 @@
 }
 
 bool Server::process_and_close_socket(socket_t sock) {
+  if (!hooks_.opened || hooks_.opened(sock)) ServeConnection(sock);
+  if (hooks_.closed) hooks_.closed(sock);
+  ::shutdown(sock, SHUT_RDWR);
+  ::close(sock);
+  return true;
+}
+
+void Server::ServeConnection(socket_t sock) {
   DeadlineStream stream(sock);
   Millis idle_until = SteadyNow() + limits_.idle_timeout;
   bool open = true;
@@ -178,9 +201,6 @@
     --busy_;
     idle_until = SteadyNow() + limits_.idle_timeout;
   }
-  ::shutdown(sock, SHUT_RDWR);
-  ::close(sock);
-  return true;
 }
 
 }  // namespace hibiscuspick::http
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -178,3 +178,38 @@
   BOOST_REQUIRE(!IsOk(result));
   BOOST_TEST((ErrorOf(result).code == Code::kConnectFailed));
 }
+
+// Servers limit their connections: one over the limit is closed before its
+// request is read. A client must see that as a connection that broke.
+BOOST_AUTO_TEST_CASE(a_hook_may_close_a_connection_unread) {
+  Server server({});
+  std::atomic<int> handled{0};
+  std::atomic<int> closed{0};
+  server.Get("/", [&](const auto&, auto&) { ++handled; });
+  server.SetConnectionHooks(
+      {[](socket_t) { return false; }, [&](socket_t) { ++closed; }});
+  BOOST_REQUIRE(IsOk(server.Start("127.0.0.1", 0)));
+  Connection connection(Local(server), {});
+  BOOST_TEST(!IsOk(connection.Send(MakeRequest("GET", "/"), kLong)));
+  server.Stop();
+  BOOST_TEST(handled.load() == 0);
+  BOOST_TEST(closed.load() == 1);
+}
+
+// A server dies after the work and before the answer. The client sees a broken
+// connection, or what bytes came before.
+BOOST_AUTO_TEST_CASE(a_handler_may_drop_its_caller) {
+  Server server({});
+  server.Get("/", [](const auto&, auto& response) {
+    hibiscuspick::http::SendRaw(
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n4");
+    hibiscuspick::http::DropCaller();
+    response.set_content("whole", "text/plain");
+  });
+  BOOST_REQUIRE(IsOk(server.Start("127.0.0.1", 0)));
+  Connection connection(Local(server), {});
+  const auto result = connection.Send(MakeRequest("GET", "/"), kLong);
+  BOOST_REQUIRE(!IsOk(result));
+  BOOST_TEST((ErrorOf(result).code == Code::kReadFailed));
+  BOOST_TEST(!hibiscuspick::http::SendRaw("outside a handler"));
+}
