Daemon: all parts wired into one process (not built yet)

Cause: the packages need one place that owns control state and publishes views. Change: control thread, traffic view, part service with liveness notices, instance lister, status, graceful stop, main. Settings gain peers and max_attempts; the unused traffic.threads goes.

--- /dev/null
+++ b/packages/daemon/include/hibiscuspick/daemon/instance_lister.h
@@ -0,0 +1,44 @@
+// Asks the platform now and then for its list of instances.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/platform/calls.h"
+
+namespace hibiscuspick::daemon {
+
+// Each call counts at the platform, so only the data centre's watchers ask
+// regularly; an instance that knows nobody asks too.
+class InstanceLister {
+ public:
+  using Sink = std::function<void(std::vector<platform::ListedInstance>)>;
+
+  static constexpr Millis kInterval{2000};
+
+  // `wanted` tells whether to ask now; both are called by the lister's thread.
+  InstanceLister(platform::Calls calls, std::function<bool()> wanted,
+                 Sink sink);
+  ~InstanceLister();
+  InstanceLister(const InstanceLister&) = delete;
+  InstanceLister& operator=(const InstanceLister&) = delete;
+
+  void Stop();
+
+ private:
+  void Run();
+
+  const platform::Calls calls_;
+  const std::function<bool()> wanted_;
+  const Sink sink_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace hibiscuspick::daemon
--- /dev/null
+++ b/packages/daemon/include/hibiscuspick/daemon/traffic_view.h
@@ -0,0 +1,70 @@
+// What traffic threads need of configuration and membership, made once for
+// each change of either and never changed after.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/base/result.h"
+#include "hibiscuspick/dispatch/part_executor.h"
+#include "hibiscuspick/front/callers_api.h"
+#include "hibiscuspick/membership/placement.h"
+#include "hibiscuspick/membership/view.h"
+#include "hibiscuspick/routing/plan.h"
+#include "hibiscuspick/settings/configuration.h"
+
+namespace hibiscuspick::daemon {
+
+// Where a record of a shard goes, by the newest manifest that has the shard.
+struct RecordTarget {
+  IndexVersion version;
+  std::vector<BackendServerId> servers;
+};
+
+struct TrafficView {
+  std::shared_ptr<const settings::Configuration> configuration;
+  membership::ViewPointer members;
+  membership::Placement placement;
+  // The manifests each route may pin, newest first.
+  std::unordered_map<RouteId, routing::Plans> plans;
+  std::map<std::pair<ServiceId, ShardId>, RecordTarget> record_targets;
+};
+
+// Builds the view; pure.
+std::shared_ptr<const TrafficView> MakeTrafficView(
+    std::shared_ptr<const settings::Configuration> configuration,
+    membership::ViewPointer members);
+
+// Whether there is a configuration to serve.
+bool IsConfigured(const TrafficView& view);
+
+// The instances to ask for a service's shards: its owners, then this instance,
+// which sends directly when no owner answers; with the direct policy only this
+// instance.
+std::vector<InstanceId> CandidatesOf(const TrafficView& view,
+                                     const ServiceId& service);
+
+// Errors: kNotReady, kUnknownRoute, kNoSnapshot.
+Result<front::RouteView> FindRoute(const TrafficView& view,
+                                   const RouteId& route,
+                                   const CustomerId& customer);
+
+// Errors: kNotReady, kUnknownService, kMalformedRequest for a shard that no
+// manifest gives to the service.
+Result<front::RecordValues> FindService(const TrafficView& view,
+                                        const ServiceId& service,
+                                        const ShardId& shard,
+                                        const CustomerId& customer);
+
+routing::CustomerRules CustomerRulesOf(const TrafficView& view,
+                                       const CustomerId& customer);
+
+// All services as this instance's executor is to use them.
+std::vector<dispatch::GroupConfig> GroupConfigsOf(const TrafficView& view);
+
+}  // namespace hibiscuspick::daemon
--- /dev/null
+++ b/packages/daemon/main.cc
@@ -0,0 +1,127 @@
+// hibiscuspickd: one instance of the query tier.
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/daemon/daemon.h"
+#include "hibiscuspick/settings/daemon_settings.h"
+
+namespace {
+
+using hibiscuspick::ErrorOf;
+using hibiscuspick::IsOk;
+using hibiscuspick::Log;
+using hibiscuspick::Part;
+using hibiscuspick::settings::DaemonSettings;
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotStart = 3;
+
+std::optional<std::string> Environment(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  if (value == nullptr) return std::nullopt;
+  return std::string(value);
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// The settings, or nothing after all faults were printed.
+std::optional<DaemonSettings> ReadSettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": can't be read\n";
+    return std::nullopt;
+  }
+  const auto checked =
+      hibiscuspick::settings::ReadDaemonSettings(*text, Environment);
+  if (hibiscuspick::settings::IsGood(checked)) {
+    return hibiscuspick::settings::GoodOf(checked);
+  }
+  for (const auto& it : hibiscuspick::settings::FaultsOf(checked)) {
+    std::cerr << path << ": " << it.place << ": " << it.message << "\n";
+  }
+  return std::nullopt;
+}
+
+// The stop signals, blocked in all threads so that one thread takes them.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+// Serves until the first signal and stops gracefully; a second one ends what
+// is still running at once.
+int Serve(const DaemonSettings& settings) {
+  const sigset_t signals = BlockStopSignals();
+  std::signal(SIGPIPE, SIG_IGN);
+  hibiscuspick::StartLogs(settings.log_format, settings.log_level,
+                          settings.instance.text);
+  hibiscuspick::daemon::Daemon daemon(settings);
+  const auto started = daemon.Start();
+  std::atomic<bool> now{false};
+  if (!IsOk(started)) {
+    std::cerr << ErrorOf(started).place << ": " << ErrorOf(started).message
+              << "\n";
+    now = true;
+    daemon.Stop(now);
+    hibiscuspick::StopLogs();
+    return kExitCannotStart;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::atomic<bool> stopped{false};
+  std::thread stopper([&] {
+    daemon.Stop(now);
+    stopped = true;
+    // Wakes the wait below if no second signal came.
+    kill(getpid(), SIGTERM);
+  });
+  sigwait(&signals, &signal);
+  if (!stopped) {
+    Log(Part::kDaemon).warn("Second signal: ends now.");
+    now = true;
+  }
+  stopper.join();
+  hibiscuspick::StopLogs();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine cmd(
+      "hibiscuspickd runs one instance of the query tier. Exit codes: 0 "
+      "stopped as asked, 2 bad settings, 3 an address can't be listened on.",
+      ' ', HIBISCUSPICK_VERSION);
+  TCLAP::ValueArg<std::string> settings_path(
+      "s", "settings", "Settings file, JSON with comments.", true, "", "FILE",
+      cmd);
+  TCLAP::SwitchArg check("c", "check", "Only checks the settings file.", cmd);
+  cmd.parse(argc, argv);
+  const auto settings = ReadSettings(settings_path.getValue());
+  if (!settings) return kExitBadSettings;
+  if (check.getValue()) {
+    std::cout << settings_path.getValue() << ": good\n";
+    return EXIT_SUCCESS;
+  }
+  return Serve(*settings);
+}
--- a/packages/settings/include/hibiscuspick/settings/daemon_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/daemon_settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/ids.h"
@@ -26,6 +27,9 @@
   Address operators;
   Address inner;
   Address platform;
+  // Inner addresses of instances that are likely to be there, asked when the
+  // platform can't say who is.
+  std::vector<Address> peers;
 
   // Never empty.
   std::string operator_token;
@@ -40,8 +44,8 @@
   // The longest a planned stop waits for requests in flight.
   Millis stop_timeout{30000};
 
-  // Threads that hold traffic state.
-  int traffic_threads = 2;
+  // Attempts in flight at once, each on a thread.
+  int max_attempts = 512;
   // Connections of callers served at once.
   int max_caller_connections = 1024;
   // Connections of operators served at once.
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -1,6 +1,7 @@
 #include "hibiscuspick/settings/daemon_settings.h"
 
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -83,8 +84,8 @@
 void ReadTraffic(JsonReader* root, DaemonSettings* out,
                  std::vector<Fault>* faults) {
   JsonReader reader(Section(root, "traffic"), "$.traffic", faults);
-  out->traffic_threads =
-      ReadInt(&reader, "threads", {1, 64}, out->traffic_threads);
+  out->max_attempts =
+      ReadInt(&reader, "max_attempts", {1, 4096}, out->max_attempts);
   out->max_caller_connections =
       ReadInt(&reader, "max_caller_connections", {1, 65536},
               out->max_caller_connections);
@@ -94,6 +95,23 @@
   reader.RefuseUnknown();
 }
 
+void ReadPeers(JsonReader* root, DaemonSettings* out,
+               std::vector<Fault>* faults) {
+  if (!root->Has("peers")) return;
+  const Json& peers = root->Array("peers");
+  for (size_t i = 0; i < peers.size(); ++i) {
+    const std::string path = "$.peers[" + std::to_string(i) + "]";
+    const Json& item = peers[i];
+    const auto address = ParseAddress(
+        item.is_string() ? item.get_ref<const std::string&>() : "");
+    if (IsOk(address)) {
+      out->peers.push_back(ValueOf(address));
+    } else {
+      faults->push_back({Code::kInvalidValue, path, ErrorOf(address).message});
+    }
+  }
+}
+
 void ReadPlatformCalls(JsonReader* root, DaemonSettings* out,
                        std::vector<Fault>* faults) {
   JsonReader reader(Section(root, "platform_calls"), "$.platform_calls",
@@ -123,6 +141,7 @@
   out.region = reader.NameText("region", "");
   ReadListen(&reader, &out, &faults);
   out.platform = reader.IpAddress("platform");
+  ReadPeers(&reader, &out, &faults);
   out.operator_token = ReadSecret(&reader, "operator_token", environment);
   out.inner_key = ReadSecret(&reader, "inner_key", environment);
   ReadLog(&reader, &out, &faults);
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -59,12 +59,16 @@
      WithHead(R"(,"operator_token": "t", "inner_key": "k", "colour": 1,
                  "log": {"levle": "info"})"),
      {"$.log.levle", "$.colour"}},
+    {"peers that are not addresses",
+     WithHead(R"(,"operator_token": "t", "inner_key": "k",
+                 "peers": ["127.0.0.1:8202", "host:1", 7])"),
+     {"$.peers[1]", "$.peers[2]"}},
     {"values out of range",
      WithHead(R"(,"operator_token": "t", "inner_key": "k",
                  "balancer_lag_ms": -1, "stop_timeout_ms": 1.5,
-                 "traffic": {"threads": 0}, "log": {"format": "xml"})"),
+                 "traffic": {"max_attempts": 0}, "log": {"format": "xml"})"),
      {"$.log.format", "$.balancer_lag_ms", "$.stop_timeout_ms",
-      "$.traffic.threads"}},
+      "$.traffic.max_attempts"}},
 };
 
 }  // namespace
