Records at most once, callers' API, and bounds on requests' framing

Cause: a record must run at most once whatever is lost or paused, and callers need queries and records over HTTP. Change: records keeps claims in bucket objects that only move to later epochs, with group commit as a pure machine; front reads, checks and answers requests; http bounds the bytes of a request, closes after an answer to what it could not read to its end, and ignores Range, which cut JSON answers.

--- a/packages/front/include/hibiscuspick/front/callers_api.h
+++ b/packages/front/include/hibiscuspick/front/callers_api.h
@@ -70,8 +70,20 @@
 
  private:
   class Admitted;
+  // How a query ended; the lane is set if the route is known.
+  struct Outcome {
+    Code code = Code::kOk;
+    bool is_known = false;
+    Lane lane = Lane::kOrdinary;
+  };
   void Query(const httplib::Request& request, httplib::Response* response);
+  Outcome RunQuery(const httplib::Request& request,
+                   const std::string& request_id, const RouteId& route,
+                   Millis arrived, httplib::Response* response);
   void Record(const httplib::Request& request, httplib::Response* response);
+  Code RunRecord(const httplib::Request& request, const std::string& request_id,
+                 Millis arrived, httplib::Response* response);
+  void Count(const std::string& kind, Code code);
 
   const CallersPorts ports_;
   metrics::Registry* const registry_;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 #include "hibiscuspick/http/connection_threads.h"
@@ -20,8 +21,24 @@
 // How often an idle connection looks whether the server is stopping.
 constexpr Millis kIdleSlice{50};
 
+// Bytes of a request's head. The library bounds a line but not their number,
+// so that endless headers would fill the memory.
+constexpr size_t kMaxHead = 64 << 10;
+
+// What is still read of a connection that is to be closed.
+constexpr size_t kMaxDrain = 4 << 20;
+constexpr Millis kDrainTimeout{500};
+
 thread_local socket_t current_socket = INVALID_SOCKET;
 
+// Whether the answer just written says that the request could not be read to
+// its end, so that what follows on the connection is not a new request.
+thread_local bool lost_framing = false;
+
+bool IsFramingLost(int status) {
+  return status == 400 || status == 411 || status == 413 || status == 414;
+}
+
 // Waits for the events until the instant; false if it passed first.
 bool WaitFor(socket_t sock, int16_t events, Millis until) {
   for (;;) {
@@ -58,6 +75,9 @@
     until_ = until;
     span_ = span;
   }
+  // Reading stops after this many bytes more. The library bounds only bodies
+  // that state their length; a chunked one could grow without end.
+  void SetBudget(size_t bytes) { budget_ = bytes; }
   bool HasBuffered() const { return begin_ < end_; }
 
   bool is_readable() const override {
@@ -68,7 +88,9 @@
   }
   ssize_t read(char* out, size_t size) override {
     if (!HasBuffered() && !Fill()) return filled_;
-    const size_t n = std::min(size, end_ - begin_);
+    const size_t n = std::min({size, end_ - begin_, budget_});
+    if (n == 0) return -1;
+    budget_ -= n;
     std::copy_n(buf_ + begin_, n, out);
     begin_ += n;
     return static_cast<ssize_t>(n);
@@ -101,12 +123,27 @@
   const socket_t sock_;
   Millis until_;
   Millis span_;
+  size_t budget_ = 0;
   char buf_[8192];
   size_t begin_ = 0;
   size_t end_ = 0;
   ssize_t filled_ = 0;
 };
 
+// Reads on for a while before closing: closing with unread bytes resets the
+// connection, and the caller would lose the answer that says what was wrong.
+void Drain(socket_t sock) {
+  ::shutdown(sock, SHUT_WR);
+  const Millis until = SteadyNow() + kDrainTimeout;
+  char buf[8192];
+  size_t total = 0;
+  while (total < kMaxDrain && WaitFor(sock, POLLIN, until)) {
+    const ssize_t n = ::recv(sock, buf, sizeof(buf), 0);
+    if (n <= 0) return;
+    total += static_cast<size_t>(n);
+  }
+}
+
 }  // namespace
 
 bool CallerGone() {
@@ -124,6 +161,16 @@
     setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     listener_ = sock;
   });
+  // The library would cut a JSON answer to the byte range that a request asks
+  // for, and the caller would take the rest for missing.
+  set_pre_routing_handler([](const httplib::Request& request, auto&) {
+    const_cast<httplib::Request&>(request).ranges.clear();
+    return HandlerResponse::Unhandled;
+  });
+  set_post_routing_handler([](const auto&, auto& response) {
+    lost_framing = IsFramingLost(response.status);
+    if (lost_framing) response.set_header("Connection", "close");
+  });
   new_task_queue = [n = limits.max_connections] {
     return new ConnectionThreads(n);
   };
@@ -170,14 +217,19 @@
     }
     stream.SetDeadline(SteadyNow() + limits_.request_timeout,
                        limits_.request_timeout);
+    stream.SetBudget(kMaxHead + 2 * limits_.max_body);
     ++busy_;
     current_socket = sock;
+    lost_framing = false;
     bool closed = false;
-    open = process_request(stream, closing_, closed, nullptr) && !closed;
+    open = process_request(stream, closing_, closed, nullptr) && !closed &&
+           !lost_framing;
     current_socket = INVALID_SOCKET;
     --busy_;
     idle_until = SteadyNow() + limits_.idle_timeout;
   }
+  if (lost_framing) Drain(sock);
+  lost_framing = false;
   ::shutdown(sock, SHUT_RDWR);
   ::close(sock);
   return true;
--- a/packages/records/include/hibiscuspick/records/bucket.h
+++ b/packages/records/include/hibiscuspick/records/bucket.h
@@ -107,6 +107,8 @@
 struct Verdict {
   VerdictKind kind = VerdictKind::kUnknown;
   Entry entry;
+  // Applying it altered the value.
+  bool is_changed = false;
 };
 
 // Applies the change to the value, as far as its verdict allows.
--- a/packages/records/include/hibiscuspick/records/record_runner.h
+++ b/packages/records/include/hibiscuspick/records/record_runner.h
@@ -1,90 +1,85 @@
-// Runs records at most once: the threads' side of records, on the platform's
-// calls.
+// Runs records at most once: the threads' side, on the platform's calls.
 #pragma once
 
 #include <condition_variable>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
-#include "hibiscuspick/base/code.h"
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
-#include "hibiscuspick/base/random.h"
 #include "hibiscuspick/platform/calls.h"
-#include "hibiscuspick/records/bucket.h"
 #include "hibiscuspick/records/committer.h"
+#include "hibiscuspick/records/record_flow.h"
 
 namespace hibiscuspick::records {
 
-// What a caller asked for, checked.
-struct RecordRequest {
-  std::string request_id;
-  CustomerId customer;
-  ServiceId service;
-  ShardId shard;
-  std::string key;
-  // JSON text as it goes to the backend server.
-  std::string record;
-  // From the arrival of the request.
-  Millis deadline{1000};
-};
-
-// What became of handing the record to a backend server. kOk carries `result`
-// as JSON text; kRecordFailed means the server answered that it did not take
-// the record, which is as final as kOk. With Ran::kNo nothing was handed to a
-// socket. Everything else may have run.
-struct DispatchResult {
-  Code code = Code::kOk;
-  Ran ran = Ran::kMaybe;
-  std::string result;
-};
-
-struct RecordAnswer {
-  Code code = Code::kOk;
-  Ran ran = Ran::kNo;
-  std::string result;
-  Millis retry_after;
-  std::string message;
-};
-
 struct RecordPorts {
   platform::Calls platform;
   // Sends the record once and never again by itself; `time_left` bounds it.
   std::function<DispatchResult(const RecordRequest& request, Millis time_left)>
       dispatch;
-  // Milliseconds since 1970, for the age of dated keys only.
+  // Milliseconds since 1970, for the age of dated keys only. A wrong clock can
+  // refuse keys but never run one twice.
   std::function<Millis()> wall_now = WallNow;
 };
 
 class RecordRunner {
  public:
-  // `token_prefix` names this life of this instance in the fleet; every claim's
-  // token starts with it.
-  RecordRunner(std::string token_prefix, Rules rules, RecordPorts ports);
+  // `token_prefix` names this life of this instance in the fleet
+  // ("osl-1-a.17"); every claim's token starts with it.
+  RecordRunner(std::string token_prefix, const Rules& rules, RecordPorts ports);
+  // Writes nothing more; unstored outcomes stay unknown. To be called after
+  // Flush when there is time.
   ~RecordRunner();
+  RecordRunner(const RecordRunner&) = delete;
+  RecordRunner& operator=(const RecordRunner&) = delete;
 
-  // Runs a record to its answer on the calling thread.
+  // Runs a record to its answer on the calling thread, which never waits on the
+  // platform itself and so is back by the deadline, or when dispatch is.
   RecordAnswer Run(const RecordRequest& request, Millis arrived);
 
-  // Tries again to store outcomes whose write failed; called now and then.
-  // Gives the number still unstored.
-  size_t StoreLeftovers();
+  // Waits until all outcomes are stored or `until`; true if they are. For a
+  // graceful stop.
+  bool Flush(Millis until);
+
+  // Buckets with changes not yet stored.
+  size_t unstored();
 
  private:
   struct Bucket;
+  struct Job;
+
   std::shared_ptr<Bucket> BucketOf(const std::string& name);
-  Verdict Commit(const std::string& bucket, const Change& change, Millis until);
-  void Lead(Bucket* bucket, std::unique_lock<std::mutex>* lock);
+  Verdict Commit(const std::string& name, const Change& change, Millis until);
+  // Hands a change over to be stored sometime.
+  void CommitLater(const std::string& name, const Change& change);
+  void Advance(const std::shared_ptr<Bucket>& bucket, const CommitEvent& event);
+  void Enqueue(const std::shared_ptr<Bucket>& bucket, CommitAction action,
+               Millis not_before);
+  void Work();
+  void Perform(const Job& job);
+  Result<StoredBucket> Read(const std::string& name);
+  void RetryLeftovers();
 
   const std::string token_prefix_;
   const Rules rules_;
   const RecordPorts ports_;
   std::mutex mutex_;
-  uint64_t last_token_ = 0;
+  std::condition_variable wake_;
+  std::condition_variable idle_;
   std::map<std::string, std::shared_ptr<Bucket>> buckets_;
+  std::deque<Job> jobs_;
+  uint64_t last_id_ = 0;
+  Millis next_retry_;
+  bool is_stopping_ = false;
+  std::vector<std::thread> threads_;
 };
 
 }  // namespace hibiscuspick::records
--- /dev/null
+++ b/packages/records/src/bucket.cc
@@ -0,0 +1,196 @@
+#include "hibiscuspick/records/bucket.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+#include <utility>
+
+#include "hibiscuspick/base/hash.h"
+
+namespace hibiscuspick::records {
+namespace {
+
+constexpr size_t kDateDigits = 13;
+
+// What an entry takes beside its texts, generously.
+constexpr size_t kEntryOverhead = 80;
+
+Error Malformed(const std::string& message) {
+  return {Code::kMalformedRequest, "$.key", message};
+}
+
+bool IsPrintable(const std::string& text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= ' ' && c != 0x7f; });
+}
+
+uint64_t SlotOf(const Rules& rules, Millis date) {
+  return static_cast<uint64_t>(std::floor(date.count / rules.slot.count));
+}
+
+// Slots in the ring: the window, the one being filled, and one for keys dated
+// slightly ahead, so that a slot's object is reused only for dates whose
+// predecessors there are out of the window.
+uint64_t RingSize(const Rules& rules) {
+  const double slots = std::ceil(rules.window.count / rules.slot.count);
+  return static_cast<uint64_t>(slots) + 3;
+}
+
+char StateLetter(EntryState state) {
+  switch (state) {
+    case EntryState::kClaimed:
+      return 'c';
+    case EntryState::kDone:
+      return 'd';
+    case EntryState::kFailed:
+      return 'f';
+  }
+  return 'c';
+}
+
+std::optional<EntryState> StateOf(const std::string& letter) {
+  if (letter == "c") return EntryState::kClaimed;
+  if (letter == "d") return EntryState::kDone;
+  if (letter == "f") return EntryState::kFailed;
+  return std::nullopt;
+}
+
+// [token, body hash, state, result]; short, since a bucket holds thousands.
+std::optional<Entry> EntryFromJson(const Json& json) {
+  if (!json.is_array() || json.size() != 4 || !json[0].is_string() ||
+      !json[1].is_number_unsigned() || !json[2].is_string() ||
+      !json[3].is_string()) {
+    return std::nullopt;
+  }
+  const auto state = StateOf(json[2].get<std::string>());
+  if (!state) return std::nullopt;
+  return Entry{json[0].get<std::string>(), json[1].get<uint64_t>(), *state,
+               json[3].get<std::string>()};
+}
+
+size_t SizeOf(const BucketValue& value) {
+  size_t n = 0;
+  for (const auto& [key, it] : value.entries) {
+    n += key.size() + it.token.size() + it.result.size() + kEntryOverhead;
+  }
+  return n;
+}
+
+Verdict ApplyTo(const Rules& rules, BucketValue* value, const Claim& claim) {
+  const auto it = value->entries.find(claim.key);
+  if (it != value->entries.end()) {
+    const bool is_ours = it->second.token == claim.token;
+    return {is_ours ? VerdictKind::kInForce : VerdictKind::kTaken, it->second,
+            false};
+  }
+  if (SizeOf(*value) >= rules.max_bucket_bytes) {
+    return {VerdictKind::kFull, {}, false};
+  }
+  const Entry entry{claim.token, claim.body_hash, EntryState::kClaimed, ""};
+  value->entries.emplace(claim.key, entry);
+  return {VerdictKind::kInForce, entry, true};
+}
+
+Verdict ApplyTo(const Rules& rules, BucketValue* value,
+                const StoreOutcome& outcome) {
+  const auto it = value->entries.find(outcome.key);
+  const bool is_ours =
+      it != value->entries.end() && it->second.token == outcome.token;
+  if (!is_ours) return {VerdictKind::kTaken, {}, false};
+  if (it->second.state == outcome.state) {
+    return {VerdictKind::kInForce, it->second, false};
+  }
+  it->second.state = outcome.state;
+  it->second.result =
+      outcome.result.size() <= rules.max_result ? outcome.result : "";
+  return {VerdictKind::kInForce, it->second, true};
+}
+
+Verdict ApplyTo(const Rules&, BucketValue* value, const ReleaseClaim& release) {
+  const auto it = value->entries.find(release.key);
+  const bool is_ours =
+      it != value->entries.end() && it->second.token == release.token;
+  if (is_ours) value->entries.erase(it);
+  return {VerdictKind::kInForce, {}, is_ours};
+}
+
+}  // namespace
+
+std::optional<Millis> DateOf(const std::string& key) {
+  if (key.size() <= kDateDigits || key[kDateDigits] != '-') {
+    return std::nullopt;
+  }
+  double date = 0;
+  for (size_t i = 0; i < kDateDigits; ++i) {
+    if (key[i] < '0' || key[i] > '9') return std::nullopt;
+    date = date * 10 + (key[i] - '0');
+  }
+  return Millis(date);
+}
+
+Result<Place> PlaceOf(const Rules& rules, const std::string& service,
+                      const std::string& key, Millis wall_now) {
+  if (key.empty()) return Malformed("must not be empty");
+  if (key.size() > rules.max_key) return Malformed("is too long");
+  if (!IsPrintable(key)) return Malformed("has control characters");
+  const uint64_t hash = Hash(key, Hash(service));
+  const auto date = DateOf(key);
+  if (!date) {
+    return Place{"undated-" + std::to_string(hash % rules.undated_buckets), 0};
+  }
+  if (*date > wall_now + rules.max_ahead) {
+    return Malformed("is dated ahead of time");
+  }
+  if (*date < wall_now - rules.window) {
+    return Error{Code::kKeyTooOld, "$.key", ""};
+  }
+  const uint64_t slot = SlotOf(rules, *date);
+  return Place{"ring-" + std::to_string(slot % RingSize(rules)) + "-" +
+                   std::to_string(hash % rules.buckets_per_slot),
+               slot};
+}
+
+Json ToJson(const BucketValue& value) {
+  Json entries = Json::object();
+  for (const auto& [key, it] : value.entries) {
+    entries[key] = {it.token, it.body_hash,
+                    std::string(1, StateLetter(it.state)), it.result};
+  }
+  return Json{{"epoch", value.epoch}, {"entries", std::move(entries)}};
+}
+
+Result<BucketValue> BucketFromJson(const Json& json) {
+  const Error bad{Code::kBadReply, "record", "a bucket that can't be read"};
+  if (!json.is_object() || !json.contains("epoch") ||
+      !json["epoch"].is_number_unsigned() || !json.contains("entries") ||
+      !json["entries"].is_object()) {
+    return bad;
+  }
+  BucketValue value;
+  value.epoch = json["epoch"].get<uint64_t>();
+  for (const auto& [key, it] : json["entries"].items()) {
+    auto entry = EntryFromJson(it);
+    if (!entry) return bad;
+    value.entries.emplace(key, std::move(*entry));
+  }
+  return value;
+}
+
+Verdict Apply(const Rules& rules, BucketValue* value, const Change& change) {
+  const uint64_t epoch =
+      std::visit([](const auto& it) { return it.epoch; }, change);
+  if (epoch < value->epoch) return {VerdictKind::kTooOld, {}, false};
+  // The dates that this object held until now are out of the window. Only a
+  // claim moves it on: an outcome's claim is there already or was swept.
+  if (epoch > value->epoch) {
+    if (!std::holds_alternative<Claim>(change)) {
+      return {VerdictKind::kTaken, {}, false};
+    }
+    value->epoch = epoch;
+    value->entries.clear();
+  }
+  return std::visit([&](const auto& it) { return ApplyTo(rules, value, it); },
+                    change);
+}
+
+}  // namespace hibiscuspick::records
--- /dev/null
+++ b/packages/records/src/record_runner.cc
@@ -0,0 +1,232 @@
+#include "hibiscuspick/records/record_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hibiscuspick/base/log.h"
+
+namespace hibiscuspick::records {
+namespace {
+
+// Calls at the platform under way at once. At 5 ms each this is some hundred
+// writes a second, as many as the platform takes from the whole fleet.
+constexpr size_t kThreads = 4;
+
+// Cached buckets kept when nothing waits for them.
+constexpr size_t kMaxIdleBuckets = 64;
+
+// The wait before another call after one has failed, for each failure in a row.
+constexpr Millis kBackoff{20};
+
+// How often outcomes whose write failed are tried again.
+constexpr Millis kRetryEvery{1000};
+
+}  // namespace
+
+// One bucket's committer and what it decided for waiting threads; all guarded
+// by the runner's mutex.
+struct RecordRunner::Bucket {
+  std::string name;
+  Committer committer;
+  std::map<uint64_t, Verdict> decided;
+  std::condition_variable wake;
+};
+
+struct RecordRunner::Job {
+  std::shared_ptr<Bucket> bucket;
+  CommitAction action;
+  Millis not_before;
+};
+
+RecordRunner::RecordRunner(std::string token_prefix, const Rules& rules,
+                           RecordPorts ports)
+    : token_prefix_(std::move(token_prefix)),
+      rules_(rules),
+      ports_(std::move(ports)),
+      next_retry_(SteadyNow() + kRetryEvery) {
+  for (size_t i = 0; i < kThreads; ++i) {
+    threads_.emplace_back([this] { Work(); });
+  }
+}
+
+RecordRunner::~RecordRunner() {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
+  }
+  wake_.notify_all();
+  for (auto& it : threads_) it.join();
+}
+
+RecordAnswer RecordRunner::Run(const RecordRequest& request, Millis arrived) {
+  const Millis until = arrived + request.deadline;
+  std::string token;
+  {
+    const std::lock_guard lock(mutex_);
+    token = token_prefix_ + "." + std::to_string(++last_id_);
+  }
+  const auto plan = PlanClaim(rules_, request, token, ports_.wall_now());
+  if (!IsOk(plan)) {
+    const Error& error = ErrorOf(plan);
+    return {error.code, Ran::kNo, "", Millis(0),
+            error.message.empty() ? "" : error.place + ": " + error.message};
+  }
+  const Claim& claim = ValueOf(plan).claim;
+  const std::string& bucket = ValueOf(plan).bucket;
+  const Verdict verdict = Commit(bucket, claim, until);
+  if (const auto answer = AnswerToClaim(claim, verdict)) return *answer;
+
+  // The claim may have taken as long as it liked; a record that is handed over
+  // after its deadline would run with nobody waiting for it.
+  const Millis left = until - SteadyNow();
+  if (left <= Millis(0)) {
+    CommitLater(bucket, ReleaseClaim{claim.key, claim.epoch, claim.token});
+    return AnswerTooLate();
+  }
+  const AfterDispatch after =
+      TakeDispatch(claim, ports_.dispatch(request, left));
+  Log(Part::kRecord)
+      .info("record {} of {} for shard {} ends {}.", request.request_id,
+            request.service.text, request.shard.text,
+            CodeName(after.answer.code));
+  // The answer does not wait for the outcome's write: a repeat that comes
+  // before it is told "may have run", which is true.
+  if (after.change) CommitLater(bucket, *after.change);
+  return after.answer;
+}
+
+std::shared_ptr<RecordRunner::Bucket> RecordRunner::BucketOf(
+    const std::string& name) {
+  auto& place = buckets_[name];
+  if (place) return place;
+  place = std::make_shared<Bucket>();
+  place->name = name;
+  place->committer.rules = rules_;
+  const auto bucket = place;
+  for (auto it = buckets_.begin();
+       it != buckets_.end() && buckets_.size() > kMaxIdleBuckets;) {
+    // A bucket in use elsewhere has a second owner besides the table. One with
+    // a lost write must stay: only it knows that the write may yet take effect.
+    const bool is_dropped = it->second.use_count() == 1 &&
+                            IsIdle(it->second->committer) &&
+                            !it->second->committer.lost;
+    it = is_dropped ? buckets_.erase(it) : std::next(it);
+  }
+  return bucket;
+}
+
+Verdict RecordRunner::Commit(const std::string& name, const Change& change,
+                             Millis until) {
+  std::unique_lock lock(mutex_);
+  const auto bucket = BucketOf(name);
+  const uint64_t id = ++last_id_;
+  Advance(bucket, Submit{id, change});
+  const auto is_decided = [&] { return bucket->decided.contains(id); };
+  const Millis span = Max(Millis(0), until - SteadyNow());
+  if (!bucket->wake.wait_for(lock, span.ToMicros(), is_decided)) {
+    Advance(bucket, GiveUp{id});
+    return {};
+  }
+  const Verdict verdict = bucket->decided[id];
+  bucket->decided.erase(id);
+  return verdict;
+}
+
+void RecordRunner::CommitLater(const std::string& name, const Change& change) {
+  const std::lock_guard lock(mutex_);
+  const auto bucket = BucketOf(name);
+  const uint64_t id = ++last_id_;
+  Advance(bucket, Submit{id, change});
+  Advance(bucket, GiveUp{id});
+}
+
+void RecordRunner::Advance(const std::shared_ptr<Bucket>& bucket,
+                           const CommitEvent& event) {
+  for (auto& action : Step(&bucket->committer, event)) {
+    if (const auto* decided = std::get_if<Decided>(&action)) {
+      bucket->decided[decided->id] = decided->verdict;
+      bucket->wake.notify_all();
+    } else {
+      const double failures = bucket->committer.failures;
+      Enqueue(bucket, std::move(action), SteadyNow() + kBackoff * failures);
+    }
+  }
+  idle_.notify_all();
+}
+
+void RecordRunner::Enqueue(const std::shared_ptr<Bucket>& bucket,
+                           CommitAction action, Millis not_before) {
+  jobs_.push_back({bucket, std::move(action), not_before});
+  wake_.notify_one();
+}
+
+void RecordRunner::Work() {
+  std::unique_lock lock(mutex_);
+  while (!is_stopping_) {
+    const Millis now = SteadyNow();
+    if (now >= next_retry_) RetryLeftovers();
+    const auto it = std::min_element(
+        jobs_.begin(), jobs_.end(),
+        [](const Job& a, const Job& b) { return a.not_before < b.not_before; });
+    const Millis due = it == jobs_.end() ? kNever : it->not_before;
+    if (due > now) {
+      wake_.wait_for(lock, (Min(due, next_retry_) - now).ToMicros());
+      continue;
+    }
+    const Job job = std::move(*it);
+    jobs_.erase(it);
+    lock.unlock();
+    Perform(job);
+    lock.lock();
+  }
+}
+
+void RecordRunner::Perform(const Job& job) {
+  const std::string& name = job.bucket->name;
+  if (const auto* write = std::get_if<WriteBucket>(&job.action)) {
+    PutDone done{ports_.platform.put(platform::kRecordKind, name,
+                                     ToJson(write->value), write->expected)};
+    const std::lock_guard lock(mutex_);
+    Advance(job.bucket, done);
+  } else {
+    GotBucket got{Read(name)};
+    const std::lock_guard lock(mutex_);
+    Advance(job.bucket, got);
+  }
+}
+
+Result<StoredBucket> RecordRunner::Read(const std::string& name) {
+  const auto object = ports_.platform.get(platform::kRecordKind, name);
+  if (!IsOk(object)) return ErrorOf(object);
+  auto value = BucketFromJson(ValueOf(object).value);
+  if (!IsOk(value)) {
+    Log(Part::kRecord).error("the bucket {} can't be read.", name);
+    return ErrorOf(value);
+  }
+  return StoredBucket{ValueOf(object).version, std::move(ValueOf(value))};
+}
+
+void RecordRunner::RetryLeftovers() {
+  next_retry_ = SteadyNow() + kRetryEvery;
+  for (const auto& [name, bucket] : buckets_) Advance(bucket, Retry{});
+}
+
+bool RecordRunner::Flush(Millis until) {
+  std::unique_lock lock(mutex_);
+  RetryLeftovers();
+  const Millis span = Max(Millis(0), until - SteadyNow());
+  return idle_.wait_for(lock, span.ToMicros(), [this] {
+    return std::all_of(buckets_.begin(), buckets_.end(), [](const auto& it) {
+      return IsIdle(it.second->committer);
+    });
+  });
+}
+
+size_t RecordRunner::unstored() {
+  const std::lock_guard lock(mutex_);
+  return static_cast<size_t>(std::count_if(
+      buckets_.begin(), buckets_.end(),
+      [](const auto& it) { return !it.second->committer.waiting.empty(); }));
+}
+
+}  // namespace hibiscuspick::records
