--- a/packages/base/src/json.cc
+++ b/packages/base/src/json.cc
@@ -26,7 +26,7 @@
 }
 
 // The library's sentence without its "[json.exception…]" prefix.
-std::string ReasonOf(const Json::parse_error& error) {
+std::string ReasonOf(const Json::exception& error) {
   const std::string whole = error.what();
   const auto it = whole.find("] ");
   return it == std::string::npos ? whole : whole.substr(it + 2);
@@ -44,7 +44,9 @@
   // traffic's case, never does.
   try {
     return Json::parse(text, nullptr, true, ignore_comments);
-  } catch (const Json::parse_error& error) {
+  } catch (const Json::exception& error) {
+    // Not only parse_error: a number such as 1e999 is another kind, which would
+    // end the process from a thread that doesn't expect it.
     return Error{Code::kMalformedRequest, "$", ReasonOf(error)};
   }
 }
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -65,6 +65,7 @@
     {"brackets in a string", "\"" + std::string(1000, '[') + "\"", true},
     {"comment", "{} // no", false},
     {"empty", "", false},
+    {"a number out of range", "1e999", false},
 };
 
 BOOST_DATA_TEST_CASE(documents_are_read_within_bounds, data::make(kDocuments),
