--- a/packages/platform/tests/standin_calls_test.cc
+++ b/packages/platform/tests/standin_calls_test.cc
@@ -96,8 +96,8 @@
               Code::kPlatformUnavailable));
   faults.outage = hp::standins::Outage::kSilent;
   bench.platform.SetFaults(faults);
-  BOOST_TEST((bench.Write("w2", std::nullopt).outcome ==
-              hpp::WriteOutcome::kUnknown));
+  BOOST_TEST(
+      (bench.Write("w2", std::nullopt).outcome == hpp::WriteOutcome::kUnknown));
   bench.platform.SetFaults({});
   BOOST_TEST((CodeOf(bench.calls.get("config", kName)) == Code::kNotFound));
 }
