--- a/packages/operators/include/hibiscuspick/operators/api.h
+++ b/packages/operators/include/hibiscuspick/operators/api.h
@@ -43,8 +43,9 @@
   // Where this instance stands, for effective values.
   DataCentreId data_centre;
   platform::Calls calls;
-  // The view in force; nullptr while the instance knows no configuration. A
-  // platform that holds nothing yet is an empty configuration, not none.
+  // The view in force. While it is nullptr or not `known`, all that reads or
+  // writes objects is answered 503 not_ready: an instance that knows nothing
+  // can't say that something isn't there.
   std::function<std::shared_ptr<const settings::Configuration>()> configuration;
   // An accepted write, to be applied and pushed to other instances at once.
   std::function<void(const settings::ConfigObject&)> on_accepted;
--- a/packages/operators/src/api.cc
+++ b/packages/operators/src/api.cc
@@ -103,7 +103,8 @@
 Reply HandleGet(const Ports& ports, const Request& request,
                 const ObjectName& name) {
   const auto configuration = ports.configuration();
-  if (!configuration) return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get()))
+    return ErrorReply(kStatusUnavailable, Code::kNotReady);
   if (name.kind == ObjectKind::kSettings && WantsEffective(request)) {
     return EffectiveReply(ports, *configuration, request, name);
   }
@@ -112,7 +113,8 @@
 
 Reply HandleList(const Ports& ports, ObjectKind kind) {
   const auto configuration = ports.configuration();
-  if (!configuration) return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get()))
+    return ErrorReply(kStatusUnavailable, Code::kNotReady);
   return ListReply(*configuration, kind);
 }
 
--- a/packages/operators/src/reply.cc
+++ b/packages/operators/src/reply.cc
@@ -20,6 +20,10 @@
   return list;
 }
 
+bool IsKnown(const settings::Configuration* configuration) {
+  return configuration && configuration->known;
+}
+
 Reply FaultsReply(const std::vector<settings::Fault>& faults) {
   Reply reply = ErrorReply(kStatusUnprocessable, Code::kInvalidValue);
   reply.body["faults"] = FaultsJson(faults);
--- a/packages/operators/src/reply.h
+++ b/packages/operators/src/reply.h
@@ -28,6 +28,9 @@
 // [{"path", "message"}].
 Json FaultsJson(const std::vector<settings::Fault>& faults);
 
+// Whether the instance knows what is stored.
+bool IsKnown(const settings::Configuration* configuration);
+
 // 422 with every fault.
 Reply FaultsReply(const std::vector<settings::Fault>& faults);
 
--- a/packages/operators/src/write.cc
+++ b/packages/operators/src/write.cc
@@ -352,7 +352,8 @@
                       "X-Write-Id must be a name");
   }
   auto configuration = ports.configuration();
-  if (!configuration) return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get()))
+    return ErrorReply(kStatusUnavailable, Code::kNotReady);
   const std::string write_id = WriteIdOf(ports, request, value);
   Write write{ports,
               name,
--- a/packages/operators/tests/api_bench.h
+++ b/packages/operators/tests/api_bench.h
@@ -42,7 +42,9 @@
     for (const auto& [name, it] : platform_->objects) {
       delta.objects.push_back({name, it.version, DumpJson(it.value)});
     }
-    Apply(delta);
+    const std::lock_guard lock(mutex_);
+    ApplyFromPlatform(&store_, delta, store_.complete_to);
+    configuration_ = BuildConfiguration(store_, configuration_.get());
   }
 
   Reply Send(const std::string& method, const std::string& path,
--- a/packages/operators/tests/api_test.cc
+++ b/packages/operators/tests/api_test.cc
@@ -331,7 +331,8 @@
   FakePlatform platform;
   Instance instance(&platform);
   auto ports = instance.ports();
-  ports.configuration = [] { return nullptr; };
+  const auto unknown = std::make_shared<const hp::settings::Configuration>();
+  ports.configuration = [&] { return unknown; };
   hp::operators::Request request;
   request.path = kSystem;
   request.authorization = std::string("Bearer ") + hp::operators::kToken;
--- a/packages/platform/include/hibiscuspick/platform/watch.h
+++ b/packages/platform/include/hibiscuspick/platform/watch.h
@@ -31,6 +31,9 @@
   int failures = 0;
   // The highest revision asked or answered so far.
   Revision seen;
+  // Whether the platform has answered yet. An instance that knows nothing
+  // lists first: a watch would only answer at the next change.
+  bool answered = false;
 };
 
 // Starts or stops watching. The first whole listing comes after a random part
--- a/packages/platform/include/hibiscuspick/platform/watch_loop.h
+++ b/packages/platform/include/hibiscuspick/platform/watch_loop.h
@@ -31,7 +31,8 @@
  public:
   // An answer, or why there is none (the platform is unreachable).
   using Sink = std::function<void(const Result<WatchNews>&)>;
-  // ConfigStore::complete_to now. Called by the loop's thread.
+  // ConfigStore::complete_to now. Called by the loop's thread under its lock:
+  // must not call back.
   using Known = std::function<Revision()>;
 
   // `calls` should be the loop's own: Stop closes them. `sink` is called by
--- a/packages/platform/src/watch.cc
+++ b/packages/platform/src/watch.cc
@@ -27,6 +27,8 @@
   if (now < state.not_before) return WatchAction::kRest;
   if (state.whole_wanted) return WatchAction::kListWhole;
   if (!state.watching) return WatchAction::kRest;
+  const bool knows_nothing = state.seen.value == 0 && !state.answered;
+  if (knows_nothing) return WatchAction::kListWhole;
   return now < state.next_whole ? WatchAction::kWatch : WatchAction::kListWhole;
 }
 
@@ -39,6 +41,7 @@
                  Revision complete_to, const WatchOptions& options, Millis now,
                  Random* random) {
   state->seen = std::max({state->seen, known, complete_to});
+  state->answered = true;
   if (asked == WatchAction::kListWhole) {
     state->whole_wanted = false;
     state->next_whole = now + AboutOne(options.whole_interval, random);
--- a/packages/platform/src/watch_loop.cc
+++ b/packages/platform/src/watch_loop.cc
@@ -51,15 +51,15 @@
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     const Millis now = SteadyNow();
+    // The control thread may not have applied the last answer yet.
+    state_.seen = std::max(state_.seen, known_());
     const WatchAction action = NextAction(state_, now);
     if (action == WatchAction::kRest) {
       wake_.wait_for(lock, (NextLook(state_, now) - now).ToMicros());
       continue;
     }
-    // The control thread may not have applied the last answer yet.
-    const Revision seen = state_.seen;
+    const Revision known = state_.seen;
     lock.unlock();
-    const Revision known = std::max(known_(), seen);
     const auto result = Ask(action, known);
     lock.lock();
     Conclude(action, known, result);
--- a/packages/platform/tests/watch_test.cc
+++ b/packages/platform/tests/watch_test.cc
@@ -26,9 +26,12 @@
   hpp::WatchState state;
   BOOST_TEST((NextAction(state, Millis(0)) == WatchAction::kRest));
   SetWatching(&state, true, kOptions, Millis(0), &random);
+  BOOST_TEST((NextAction(state, Millis(1)) == WatchAction::kListWhole));
+  AfterAnswer(&state, WatchAction::kListWhole, {}, {}, kOptions, Millis(1),
+              &random);
   BOOST_TEST((NextAction(state, Millis(1)) == WatchAction::kWatch));
-  BOOST_TEST(
-      (NextAction(state, kOptions.whole_interval) == WatchAction::kListWhole));
+  BOOST_TEST((NextAction(state, kOptions.whole_interval * 2) ==
+              WatchAction::kListWhole));
   SetWatching(&state, false, kOptions, Millis(2), &random);
   BOOST_TEST((NextAction(state, Millis(3)) == WatchAction::kRest));
   state.whole_wanted = true;
--- a/packages/settings/include/hibiscuspick/settings/config_store.h
+++ b/packages/settings/include/hibiscuspick/settings/config_store.h
@@ -60,6 +60,8 @@
 struct Applied {
   // Names of the objects that went up.
   std::vector<std::string> changed;
+  // Also for the first answer of all, so that whoever builds on the store
+  // builds anew when a new platform says that it is empty.
   bool watermark_raised = false;
   // The delta starts after what is known here: ask for one since
   // ConfigStore::complete_to. Its objects were applied nevertheless.
--- a/packages/settings/include/hibiscuspick/settings/settings_keys.h
+++ b/packages/settings/include/hibiscuspick/settings/settings_keys.h
@@ -41,7 +41,6 @@
   kHedgeQuantile,
   kHedgeMinMs,
   kHedgeBudget,
-  kRetryBudget,
   kLanesEnabled,
   kSlotsEnabled,
   kLaneMinimumUrgent,
--- a/packages/settings/src/config_store.cc
+++ b/packages/settings/src/config_store.cc
@@ -84,8 +84,11 @@
   }
   if (delta.after.value == 0) FindOlder(*store, delta, &applied);
   ApplyObjects(store, delta, &applied);
-  if (!store->known) ++store->generation;
-  store->known = true;
+  if (!store->known) {
+    store->known = true;
+    applied.watermark_raised = true;
+    ++store->generation;
+  }
   return applied;
 }
 
--- a/packages/settings/src/configuration.cc
+++ b/packages/settings/src/configuration.cc
@@ -135,6 +135,7 @@
     const ConfigStore& store, const Configuration* last) {
   auto out = std::make_shared<Configuration>();
   out->complete_to = store.complete_to;
+  out->known = store.known;
   out->objects = store.objects;
   Builder builder{last, out.get()};
   for (const auto& [name, object] : store.objects) {
--- a/packages/settings/tests/config_store_test.cc
+++ b/packages/settings/tests/config_store_test.cc
@@ -163,7 +163,10 @@
   ConfigStore store;
   ApplyDelta(&store, {{}, {}, {}});
   BOOST_TEST(!store.known);
-  ApplyFromPlatform(&store, {{}, {}, {}}, Revision());
+  BOOST_TEST(
+      ApplyFromPlatform(&store, {{}, {}, {}}, Revision()).watermark_raised);
   BOOST_TEST(store.known);
+  BOOST_TEST(
+      !ApplyFromPlatform(&store, {{}, {}, {}}, Revision()).watermark_raised);
   BOOST_TEST(store.complete_to.value == 0);
 }
--- a/packages/settings/tests/settings_tree_test.cc
+++ b/packages/settings/tests/settings_tree_test.cc
@@ -108,8 +108,8 @@
     {"a choice", {}, kSendingPolicy, 1, kSystem, false},
     {"an unknown customer",
      {kHere, hp::CustomerId("zz"), {}, {}},
-     kCustomerRateLimit,
-     1000,
+     kCustomerConcurrencyLimit,
+     512,
      kDefault,
      false},
 };
