Daemon: the whole path answers; a missing shard says why it was not waited for

Cause: with min_coverage 0.9 as the default, a healthy query of 20 shards was answered with 18 or 19 of them and 'deadline_exceeded' 180 ms before the deadline, which is neither what users expect nor true.

--- a/packages/base/include/hibiscuspick/base/code.h
+++ b/packages/base/include/hibiscuspick/base/code.h
@@ -37,6 +37,7 @@
   kBackendError = 2108,
   kCancelled = 2109,
   kReplyTooLarge = 2110,
+  kNotWaitedFor = 2111,
   kOwnerUnreachable = 2201,
   kKeyInUse = 3101,
   kOutcomeUnknown = 3102,
--- a/packages/base/src/code.cc
+++ b/packages/base/src/code.cc
@@ -58,6 +58,9 @@
             "The attempt was cancelled because it was no longer needed."},
     CodeRow{Code::kReplyTooLarge, "reply_too_large",
             "The reply is over the size limit."},
+    CodeRow{Code::kNotWaitedFor, "not_waited_for",
+            "The answer was given before this shard's reply because "
+            "min_coverage was reached."},
     CodeRow{Code::kOwnerUnreachable, "owner_unreachable",
             "No instance that could reach the shard's servers answered."},
     CodeRow{Code::kKeyInUse, "key_in_use",
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -26,9 +26,6 @@
 // How often the stop looks whether all is done.
 constexpr Millis kStopPoll{10};
 
-// How often outcomes of records that could not be stored are tried again.
-constexpr Millis kLeftoverInterval{1000};
-
 inner::MeshSettings MeshSettingsOf(const settings::DaemonSettings& settings,
                                    Incarnation incarnation) {
   inner::MeshSettings mesh;
@@ -137,7 +134,6 @@
   Code Readiness() const;
   StatusFacts Facts() const;
   void AddGauges();
-  void StoreLeftovers();
   size_t InFlight() const;
   bool WaitUntilIdle(Millis until, const std::atomic<bool>& now);
 
@@ -150,7 +146,6 @@
   std::atomic<double> confirmed_wall_{0};
   std::atomic<bool> serving_{false};
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> ended_{false};
 
   dispatch::PartExecutor executor_;
   ControlThread control_;
@@ -163,7 +158,6 @@
   front::CallersApi callers_;
   std::unique_ptr<platform::WatchLoop> watch_;
   std::unique_ptr<InstanceLister> lister_;
-  std::thread leftovers_;
 };
 
 ControlPorts Daemon::Impl::MakeControlPorts() {
@@ -300,9 +294,13 @@
   news.draining = draining;
   const auto view = control_.View();
   const auto it = view->members->servers.find(server);
+  const bool known = it != view->members->servers.end();
+  // That a server takes work is news only where it was known to drain: all
+  // servers do, and saying so of each would fill the table and the wire.
+  if (!known && !draining) return;
   // A header can only add to what is known in the same round: an operator's
   // word that the server takes work again stands until the next life.
-  if (it != view->members->servers.end()) {
+  if (known) {
     news.round = it->second.round;
     if (!membership::Replaces(news, it->second)) return;
   }
@@ -430,17 +428,6 @@
       [this] { return control_.dropped_events(); });
 }
 
-void Daemon::Impl::StoreLeftovers() {
-  Millis next = SteadyNow() + kLeftoverInterval;
-  while (!ended_) {
-    std::this_thread::sleep_for(kStopPoll.ToMicros());
-    if (SteadyNow() < next) continue;
-    const size_t n = records_.StoreLeftovers();
-    if (n > 0) Log(Part::kRecord).warn("{} outcomes are not stored yet.", n);
-    next = SteadyNow() + kLeftoverInterval;
-  }
-}
-
 Result<Done> Daemon::Impl::Start() {
   AddGauges();
   callers_.AddTo(&callers_server_);
@@ -462,7 +449,6 @@
       [this](auto list) {
         control_.Post(membership::PlatformList{std::move(list)});
       });
-  leftovers_ = std::thread([this] { StoreLeftovers(); });
   if (auto ec = operators_server_.Start(settings_.operators.ip,
                                         settings_.operators.port);
       !IsOk(ec)) {
@@ -507,9 +493,12 @@
   if (!WaitUntilIdle(begun + settings_.stop_timeout, now)) {
     Log(Part::kDaemon).warn("Cuts off {} in flight.", InFlight());
   }
+  if (!records_.Flush(begun + settings_.stop_timeout)) {
+    Log(Part::kRecord)
+        .warn("{} buckets have outcomes that are not stored.",
+              records_.unstored());
+  }
   control_.Post(membership::SelfPhase{membership::Phase::kGone});
-  ended_ = true;
-  if (leftovers_.joinable()) leftovers_.join();
   executor_.Stop();
   callers_server_.Stop();
   operators_server_.Stop();
--- a/packages/settings/src/settings_keys.cc
+++ b/packages/settings/src/settings_keys.cc
@@ -35,8 +35,9 @@
      "The number of hits when the request names none."},
     {kMaxLimit, "max_limit", kInteger, 1000, 1, 10000, kPerRequest, kCapped,
      "The highest number of hits a request may ask for."},
-    {kMinCoverage, "min_coverage", kFraction, 0.9, 0, 1, kPerRequest, kFree,
-     "The share of documents from which an answer counts as enough."},
+    {kMinCoverage, "min_coverage", kFraction, 1, 0, 1, kPerRequest, kFree,
+     "The share of documents from which an answer counts as enough. With "
+     "prefer latency the answer is given as soon as it is there."},
     {kMaxBodyBytes, "max_body_bytes", kInteger, 1 << 20, 1024, 64 << 20,
      kPerRequest, kCapped, "The largest body of a request, in bytes."},
     {kRestartOnNewSnapshot, "restart_on_new_snapshot", kFlag, 1, 0, 1,
