http: idle connections wait on the stop, too, instead of polling for it

They now wait on their socket and on an event that Stop sets. The grace of 50 ms in which a request that raced the stop is still read is kept.

--- a/packages/http/include/hibiscuspick/http/server.h
+++ b/packages/http/include/hibiscuspick/http/server.h
@@ -75,9 +75,10 @@
   void ServeConnection(socket_t sock);
 
   const ServerLimits limits_;
+  // Readable once the server is stopping.
+  const int stopped_;
   ConnectionHooks hooks_;
   std::atomic<bool> closing_{false};
-  std::atomic<bool> stopping_{false};
   std::atomic<int> busy_{0};
   socket_t listener_ = INVALID_SOCKET;
   uint16_t port_ = 0;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,8 +18,9 @@
 // its first packets and wait a second for the retry.
 constexpr int kBacklog = 1024;
 
-// How often an idle connection looks whether the server is stopping.
-constexpr Millis kIdleSlice{50};
+// How long an idle connection is still read once the server is stopping, for a
+// request that its caller sent before it could know.
+constexpr Millis kStoppingGrace{50};
 
 thread_local socket_t current_socket = INVALID_SOCKET;
 
@@ -34,6 +36,19 @@
   }
 }
 
+// Waits for bytes on an idle connection. Waiting on `stopped` too, rather than
+// looking every so often, costs nothing while a thousand connections idle.
+bool WaitForRequest(socket_t sock, int stopped, Millis until) {
+  const Millis left = until - SteadyNow();
+  if (left <= Millis(0)) return false;
+  pollfd entries[] = {{sock, POLLIN, 0}, {stopped, POLLIN, 0}};
+  const int n = poll(entries, 2, static_cast<int>(left.count) + 1);
+  if (n < 0) return errno == EINTR && WaitForRequest(sock, stopped, until);
+  if (entries[0].revents != 0) return true;
+  if (entries[1].revents == 0) return false;
+  return WaitFor(sock, POLLIN, SteadyNow() + kStoppingGrace);
+}
+
 void ReadEndpoint(socket_t sock, bool remote, std::string* ip, int* port) {
   sockaddr_in address{};
   socklen_t size = sizeof(address);
@@ -131,7 +146,8 @@
   if (current_socket != INVALID_SOCKET) ::shutdown(current_socket, SHUT_RDWR);
 }
 
-Server::Server(ServerLimits limits) : limits_(limits) {
+Server::Server(ServerLimits limits)
+    : limits_(limits), stopped_(::eventfd(0, EFD_CLOEXEC)) {
   set_tcp_nodelay(true);
   set_payload_max_length(limits.max_body);
   set_socket_options([this](socket_t sock) {
@@ -144,7 +160,10 @@
   };
 }
 
-Server::~Server() { Stop(); }
+Server::~Server() {
+  Stop();
+  ::close(stopped_);
+}
 
 Result<Done> Server::Start(const std::string& ip, uint16_t port) {
   int bound = port;
@@ -168,7 +187,9 @@
 void Server::Stop() {
   if (!thread_.joinable()) return;
   closing_ = true;
-  stopping_ = true;
+  const uint64_t one = 1;
+  // Never read, so that it stays readable for every connection.
+  [[maybe_unused]] const ssize_t n = ::write(stopped_, &one, sizeof(one));
   stop();
   thread_.join();
 }
@@ -183,13 +204,11 @@
 
 void Server::ServeConnection(socket_t sock) {
   DeadlineStream stream(sock);
-  Millis idle_until = SteadyNow() + limits_.idle_timeout;
   bool open = true;
-  while (open && SteadyNow() < idle_until) {
-    const Millis slice = Min(idle_until, SteadyNow() + kIdleSlice);
-    if (!stream.HasBuffered() && !WaitFor(sock, POLLIN, slice)) {
-      if (stopping_) break;
-      continue;
+  while (open) {
+    const Millis idle_until = SteadyNow() + limits_.idle_timeout;
+    if (!stream.HasBuffered() && !WaitForRequest(sock, stopped_, idle_until)) {
+      break;
     }
     stream.SetDeadline(SteadyNow() + limits_.request_timeout,
                        limits_.request_timeout);
@@ -199,7 +218,6 @@
     open = process_request(stream, closing_, closed, nullptr) && !closed;
     current_socket = INVALID_SOCKET;
     --busy_;
-    idle_until = SteadyNow() + limits_.idle_timeout;
   }
 }
 
