--- a/packages/inner/src/framed.cc
+++ b/packages/inner/src/framed.cc
@@ -16,6 +16,8 @@
 using apache::thrift::transport::TTransport;
 
 constexpr int kMaxNesting = 16;
+// Thrift's own default, which has no definition to link to.
+constexpr int kMaxMessage = 100 << 20;
 
 class CountingFramed : public TFramedTransport {
  public:
@@ -32,6 +34,10 @@
 
  protected:
   bool readFrame() override {
+    // Thrift counts what is read against its limit for one message and, in
+    // version 0.17, never starts anew: a connection would break after 100 MB
+    // in all, which looks like a peer that crashes every few minutes.
+    resetConsumedMessageSize();
     if (!TFramedTransport::readFrame()) return false;
     *bytes_.received += static_cast<uint64_t>(rBound_ - rBase_);
     return true;
@@ -47,8 +53,7 @@
                                        size_t max_frame,
                                        const ByteCounts& bytes) {
   const auto configuration = std::make_shared<TConfiguration>(
-      TConfiguration::DEFAULT_MAX_MESSAGE_SIZE, static_cast<int>(max_frame),
-      kMaxNesting);
+      kMaxMessage, static_cast<int>(max_frame), kMaxNesting);
   return std::make_shared<CountingFramed>(std::move(inner), configuration,
                                           bytes);
 }
--- a/packages/inner/src/listener.cc
+++ b/packages/inner/src/listener.cc
@@ -5,6 +5,7 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
+#include <string>
 #include <utility>
 
 #include "framed.h"
--- a/packages/inner/src/listener.h
+++ b/packages/inner/src/listener.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 
 #include "hibiscuspick/base/result.h"
--- a/packages/inner/src/peer_mesh.cc
+++ b/packages/inner/src/peer_mesh.cc
@@ -90,13 +90,10 @@
     const auto peer = Resolve(to);
     if (peer.address.port == 0) return false;
     auto& link = links_[peer.address];
-    if (link && link->ended()) ended.push_back(std::move(link));
     if (!link) link = MakeLink(peer.address);
     auto offered = link->Offer(peer, message);
     if (offered == Link::Offered::kEnded) {
-      // It ended between the two lines above.
-      ended.push_back(std::move(link));
-      link = MakeLink(peer.address);
+      ended.push_back(std::exchange(link, MakeLink(peer.address)));
       offered = link->Offer(peer, std::move(message));
     }
     if (offered == Link::Offered::kQueued) return true;
--- a/packages/membership/src/control_core.cc
+++ b/packages/membership/src/control_core.cc
@@ -126,8 +126,9 @@
   auto& state = *turn->state;
   state.listed.clear();
   for (const auto& it : event.instances) {
-    if (it.id != state.table.self)
+    if (it.id != state.table.self) {
       state.listed.push_back({it.id, it.inner, {}});
+    }
     TakeListed(turn, it);
   }
 }
--- a/packages/membership/src/placement.cc
+++ b/packages/membership/src/placement.cc
@@ -129,8 +129,8 @@
   for (const auto& [service, owners] : after) {
     auto from = FirstOf(before, service);
     auto to = FirstOf(after, service);
-    if (from != to)
-      changes.push_back({service, std::move(from), std::move(to)});
+    if (from == to) continue;
+    changes.push_back({service, std::move(from), std::move(to)});
   }
   for (const auto& [service, owners] : before) {
     if (after.contains(service) || owners.empty()) continue;
