--- /dev/null
+++ b/packages/membership/tests/fleet_test.cc
@@ -0,0 +1,229 @@
+// Whole fleets of control cores under loss, cuts, pauses and restarts.
+#include "fleet.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace data = boost::unit_test::data;
+using hibiscuspick::BackendServerId;
+using hibiscuspick::Incarnation;
+using hibiscuspick::kNever;
+using hibiscuspick::Millis;
+using hibiscuspick::Revision;
+using hibiscuspick::membership::IsConfigured;
+using hibiscuspick::membership::IsDraining;
+using hibiscuspick::membership::LocalNews;
+using hibiscuspick::membership::ServerNews;
+using hibiscuspick::membership::testing::Fleet;
+using hibiscuspick::membership::testing::SimulatedNode;
+
+namespace {
+
+constexpr Millis kMinute{60000};
+constexpr uint64_t kSeeds[] = {1, 2, 3};
+
+// Three data centres that all know each other and one configuration.
+void StartFleet(Fleet* fleet, size_t per_data_centre) {
+  fleet->WriteAside("services/claims", "1");
+  fleet->AddMany(3, per_data_centre);
+  const auto ready = [&] {
+    return fleet->Converged() && fleet->ConfigAgrees();
+  };
+  BOOST_REQUIRE((fleet->RunUntil(ready, kMinute) != kNever));
+}
+
+void Cut(Fleet* fleet, const std::string& data_centre) {
+  fleet->cut = [data_centre](const auto& a, const auto& b) {
+    return (a.self.data_centre.text == data_centre) !=
+           (b.self.data_centre.text == data_centre);
+  };
+}
+
+}  // namespace
+
+BOOST_DATA_TEST_CASE(a_new_fleet_finds_itself, data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 12);
+  size_t watchers = 0;
+  for (const auto& [id, it] : fleet.nodes()) watchers += it->watching ? 1 : 0;
+  fleet.RunFor(Millis(5000));
+  watchers = 0;
+  for (const auto& [id, it] : fleet.nodes()) watchers += it->watching ? 1 : 0;
+  BOOST_TEST(watchers == 6U);
+}
+
+// Messages are lost, instances are paused, killed and started again while
+// operators write. Whatever an instance has in force must never go back, and
+// in the end all must have the same.
+BOOST_DATA_TEST_CASE(configuration_never_goes_back, data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  fleet.loss = 0.2;
+  std::vector<SimulatedNode*> nodes;
+  for (auto& [id, it] : fleet.nodes()) nodes.push_back(it.get());
+  const auto any = [&] { return nodes[fleet.random().Below(nodes.size())]; };
+  for (int i = 0; i < 60; ++i) {
+    auto* writer = any();
+    if (writer->alive && IsConfigured(writer->control)) {
+      fleet.Write(writer, "routes/" + std::to_string(i % 7), std::to_string(i));
+    }
+    auto* paused = any();
+    auto* killed = any();
+    fleet.Pause(paused);
+    if (killed != paused) fleet.Kill(killed);
+    fleet.RunFor(Millis(1500));
+    fleet.Wake(paused);
+    if (!killed->alive) fleet.Start(killed);
+    fleet.RunFor(Millis(1500));
+  }
+  fleet.loss = 0;
+  const auto healed = [&] { return fleet.Converged() && fleet.ConfigAgrees(); };
+  BOOST_TEST((fleet.RunUntil(healed, kMinute) != kNever));
+  BOOST_TEST(fleet.NeverWentBack());
+}
+
+// A data centre is cut off for five minutes and changes are made on both
+// sides. Afterwards its instances must be trusted again, and every instance
+// must have the newest of every object.
+BOOST_DATA_TEST_CASE(a_cut_off_data_centre_comes_back, data::make(kSeeds),
+                     seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  Cut(&fleet, "d2");
+  fleet.Write(&fleet.at("d0-0"), "routes/a", "outside");
+  fleet.RunFor(kMinute * 5);
+  const auto& inside = *fleet.at("d2-0").view;
+  BOOST_TEST(inside.members.size() == 30U);
+  BOOST_TEST(inside.members.at(fleet.at("d0-0").self.id).suspect);
+  BOOST_TEST(!inside.members.at(fleet.at("d2-1").self.id).suspect);
+  fleet.Write(&fleet.at("d2-0"), "routes/b", "inside");
+  fleet.cut = nullptr;
+  const auto healed = [&] { return fleet.Converged() && fleet.ConfigAgrees(); };
+  BOOST_TEST((fleet.RunUntil(healed, kMinute) != kNever));
+  BOOST_TEST(fleet.NeverWentBack());
+}
+
+// A switch splits a data centre in two for so long that each half calls the
+// other gone. Neither would talk to the other again of its own accord.
+BOOST_DATA_TEST_CASE(the_halves_of_a_split_data_centre_meet_again,
+                     data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  fleet.list_up = false;
+  fleet.cut = [](const auto& a, const auto& b) {
+    const auto half = [](const auto& it) {
+      return it.self.id.text.back() < '5';
+    };
+    return half(a) != half(b);
+  };
+  fleet.RunFor(kMinute * 3);
+  BOOST_TEST(!fleet.Converged());
+  fleet.cut = nullptr;
+  BOOST_TEST(
+      (fleet.RunUntil([&] { return fleet.Converged(); }, kMinute) != kNever));
+}
+
+// One direction of an instance's link fails: it is heard by nobody, but hears
+// all others. After the repair it must be taken back.
+BOOST_DATA_TEST_CASE(a_one_way_cut_heals, data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  const auto mute = fleet.at("d0-3").self.id;
+  fleet.cut = [mute](const auto& a, const auto&) { return a.self.id == mute; };
+  fleet.RunFor(kMinute);
+  BOOST_TEST(!fleet.at("d0-4").view->members.contains(mute));
+  fleet.cut = nullptr;
+  BOOST_TEST(
+      (fleet.RunUntil([&] { return fleet.Converged(); }, kMinute) != kNever));
+}
+
+// An instance sleeps for two minutes and is called gone. When it wakes it must
+// neither call the others gone nor stay away.
+BOOST_DATA_TEST_CASE(a_paused_instance_wakes, data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  auto& sleeper = fleet.at("d1-2");
+  fleet.Pause(&sleeper);
+  fleet.RunFor(kMinute * 2);
+  BOOST_TEST(!fleet.at("d1-0").view->members.contains(sleeper.self.id));
+  fleet.Wake(&sleeper);
+  BOOST_TEST(
+      (fleet.RunUntil([&] { return fleet.Converged(); }, kMinute) != kNever));
+  BOOST_TEST(sleeper.false_deaths == 0U);
+  BOOST_TEST(!sleeper.went_back);
+}
+
+// A backend server says that it is leaving while messages are lost. Everybody
+// must know within a few seconds, or it gets new work after it was promised
+// none.
+BOOST_DATA_TEST_CASE(news_of_a_drain_is_everywhere_in_seconds,
+                     data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 20);
+  fleet.loss = 0.1;
+  const BackendServerId server("b7");
+  const ServerNews news{server, Incarnation(1), 0, true};
+  fleet.Feed(&fleet.at("d0-0"), LocalNews{news});
+  const auto known = [&] {
+    return fleet.All(
+        [&](const auto& it) { return IsDraining(*it.view, server); });
+  };
+  BOOST_TEST((fleet.RunUntil(known, Millis(10000)) != kNever));
+  // What an instance says that has not heard yet changes nothing.
+  fleet.Feed(&fleet.at("d1-0"), LocalNews{{server, Incarnation(1), 0, false}});
+  fleet.RunFor(Millis(5000));
+  BOOST_TEST(known());
+}
+
+// All instances are replaced one after another while the platform is down.
+// Each must take the configuration from those that have it.
+BOOST_DATA_TEST_CASE(replaced_one_by_one_the_fleet_keeps_its_configuration,
+                     data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  fleet.Write(&fleet.at("d0-0"), "routes/a", "newest");
+  fleet.RunFor(Millis(5000));
+  fleet.platform_up = false;
+  for (auto& [id, it] : fleet.nodes()) {
+    fleet.Kill(it.get());
+    fleet.RunFor(Millis(200));
+    fleet.Start(it.get());
+    const auto ready = [&node = *it] { return IsConfigured(node.control); };
+    BOOST_REQUIRE((fleet.RunUntil(ready, kMinute) != kNever));
+  }
+  const auto healed = [&] { return fleet.Converged() && fleet.ConfigAgrees(); };
+  BOOST_TEST((fleet.RunUntil(healed, kMinute) != kNever));
+}
+
+// All instances are replaced at once while the platform is down. Nobody knows
+// the configuration, and nobody may claim to.
+BOOST_AUTO_TEST_CASE(replaced_at_once_without_the_platform_nobody_is_ready) {
+  Fleet fleet(1);
+  StartFleet(&fleet, 10);
+  fleet.platform_up = false;
+  for (auto& [id, it] : fleet.nodes()) fleet.Kill(it.get());
+  for (auto& [id, it] : fleet.nodes()) fleet.Start(it.get());
+  fleet.RunFor(kMinute);
+  BOOST_TEST(
+      fleet.All([](const auto& it) { return !IsConfigured(it.control); }));
+  fleet.platform_up = true;
+  const auto ready = [&] { return fleet.ConfigAgrees(); };
+  BOOST_TEST((fleet.RunUntil(ready, kMinute) != kNever));
+}
+
+// The two instances that watch the platform die. Others have to take over, or
+// changes made elsewhere would never arrive.
+BOOST_DATA_TEST_CASE(the_watch_is_taken_over, data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  fleet.RunFor(Millis(5000));
+  for (auto& [id, it] : fleet.nodes()) {
+    if (it->watching) fleet.Kill(it.get());
+  }
+  fleet.RunFor(Millis(5000));
+  fleet.WriteAside("routes/a", "written elsewhere");
+  const auto known = [&] { return fleet.ConfigAgrees(); };
+  BOOST_TEST((fleet.RunUntil(known, Millis(20000)) != kNever));
+}
