--- a/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
+++ b/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
@@ -38,6 +38,8 @@
   // Bytes of a backend server's reply.
   size_t max_reply = 4 << 20;
   Millis connect_timeout{250};
+  // For a cancel, or for opening a connection ahead.
+  Millis control_timeout{500};
   uint64_t seed = 1;
 };
 
--- a/packages/dispatch/src/attempt_runner.cc
+++ b/packages/dispatch/src/attempt_runner.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kNotFoundStatus = 404;
+constexpr Millis kTimeoutSlack{2};
 
 // Shard names come from operators and may hold any character; a slash or a
 // line break in one must not make another request of it.
@@ -68,6 +69,11 @@
   result.report.latency = SteadyNow() - begin;
   if (!IsOk(reply)) {
     result.report.code = ErrorOf(reply).code;
+    // The library waits whole milliseconds and so gives up a little early.
+    const bool at_deadline = result.report.latency + kTimeoutSlack >= time_left;
+    if (result.report.code == Code::kReadFailed && at_deadline) {
+      result.report.code = Code::kDeadlineExceeded;
+    }
     return result;
   }
   const ExpectedEcho expected{wire_id, order.job.version, order.server,
--- a/packages/dispatch/src/executor_group.cc
+++ b/packages/dispatch/src/executor_group.cc
@@ -9,6 +9,9 @@
 // Attempt numbers of a group lie in a range of their own.
 constexpr int kGroupShift = 40;
 
+// How soon an abort that met a request just about to begin is repeated.
+constexpr Millis kAbortAgain{20};
+
 FinishedJob Cancelled(Job job) {
   FinishedJob finished;
   finished.outcome.shard = job.shard;
@@ -150,16 +153,36 @@
   return finished;
 }
 
-bool ExecutorGroup::AbortOverdue() {
+void ExecutorGroup::BeginControl(
+    const std::shared_ptr<http::Connection>& connection, Millis until) {
+  const std::lock_guard lock(mutex_);
+  control_[connection] = until;
+}
+
+void ExecutorGroup::EndControl(
+    const std::shared_ptr<http::Connection>& connection) {
+  const std::lock_guard lock(mutex_);
+  control_.erase(connection);
+}
+
+Millis ExecutorGroup::AbortOverdue(Millis now) {
   std::vector<std::shared_ptr<http::Connection>> overdue;
+  Millis again = kNever;
   {
     const std::lock_guard lock(mutex_);
     for (const auto& it : running_) {
       if (it.second.aborted) overdue.push_back(it.second.connection);
     }
+    for (const auto& it : control_) {
+      if (it.second <= now) {
+        overdue.push_back(it.first);
+      } else {
+        again = Min(again, it.second);
+      }
+    }
   }
   for (const auto& it : overdue) it->Abort();
-  return !overdue.empty();
+  return overdue.empty() ? again : Min(again, now + kAbortAgain);
 }
 
 bool ExecutorGroup::AbortRunning() {
@@ -167,6 +190,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (const auto& it : running_) running.push_back(it.second.connection);
+    for (const auto& it : control_) running.push_back(it.first);
   }
   for (const auto& it : running) it->Abort();
   return !running.empty();
@@ -174,7 +198,7 @@
 
 bool ExecutorGroup::IsIdle() {
   const std::lock_guard lock(mutex_);
-  return jobs_.empty() && running_.empty();
+  return jobs_.empty() && running_.empty() && control_.empty();
 }
 
 bool ExecutorGroup::HasServer(const BackendServerId& server) {
--- a/packages/dispatch/src/executor_group.h
+++ b/packages/dispatch/src/executor_group.h
@@ -87,10 +87,16 @@
   // Tasks without an outcome yet, all of them cancelled and given back.
   std::vector<FinishedJob> CancelAll(Effects* effects);
 
-  // Aborts once more the connections of abandoned attempts whose request has
-  // not returned: an abort has no effect on a request that is just about to
-  // begin. True if there were any.
-  bool AbortOverdue();
+  // A cancel or a warm-up runs on the connection until EndControl, and is
+  // aborted from `until` on. Its server may be the very one that trickles.
+  void BeginControl(const std::shared_ptr<http::Connection>& connection,
+                    Millis until);
+  void EndControl(const std::shared_ptr<http::Connection>& connection);
+
+  // Aborts what should have returned: control requests past their time, and
+  // once more those of abandoned attempts, since an abort has no effect on a
+  // request that is just about to begin. Gives when to look again.
+  Millis AbortOverdue(Millis now);
 
   // Aborts all running requests; true if there were any.
   bool AbortRunning();
@@ -131,6 +137,7 @@
   std::unordered_map<AttemptId, Running> running_;
   // By index of the server.
   std::vector<std::shared_ptr<ConnectionPool>> pools_;
+  std::map<std::shared_ptr<http::Connection>, Millis> control_;
   // Of the attempt that is being finished.
   ReplyContent content_;
   std::map<Code, uint64_t> attempts_by_code_;
--- a/packages/dispatch/src/part_executor.cc
+++ b/packages/dispatch/src/part_executor.cc
@@ -20,9 +20,6 @@
 
 using GroupPtr = std::shared_ptr<ExecutorGroup>;
 
-// How soon an abort that met a request just about to begin is repeated.
-constexpr Millis kAbortAgain{20};
-
 // {"query": …, "limit": 20}, with the query's text passed on as it came.
 std::string QueryBody(const limits::PartRequest& part) {
   return "{\"query\":" + part.query +
@@ -94,7 +91,10 @@
   // On worker threads.
   void RunAttempt(const GroupPtr& group, const AttemptOrder& order);
   void SendCancel(const GroupPtr& group, const CancelOrder& order);
-  void Prepare(const std::shared_ptr<ConnectionPool>& pool);
+  void Prepare(const GroupPtr& group,
+               const std::shared_ptr<ConnectionPool>& pool);
+  void BeginControl(const GroupPtr& group,
+                    const std::shared_ptr<http::Connection>& connection);
 
   std::string WireId(AttemptId attempt) const {
     return AttemptWireId(options_.instance, options_.incarnation, attempt);
@@ -314,7 +314,6 @@
 
 void PartExecutor::Impl::CarryOut(const GroupPtr& group, Effects effects) {
   timers_.WakeBy(group, effects.due);
-  for (const auto& it : effects.aborts) it->Abort();
   for (auto& it : effects.starts) {
     Enqueue([this, group, order = std::move(it)] { RunAttempt(group, order); });
   }
@@ -322,16 +321,14 @@
     LogDecision(group->service(), it.first, it.second);
   }
   GiveOut(std::move(effects.finished));
-  // An abort that met a request about to begin had no effect; unless repeated,
-  // a server that trickles its reply could hold the worker for ever.
   if (!effects.aborts.empty()) {
-    timers_.WakeBy(group, SteadyNow() + kAbortAgain);
+    timers_.WakeBy(group, group->AbortOverdue(SteadyNow()));
   }
   for (const auto& it : effects.cancels) {
     Enqueue([this, group, it] { SendCancel(group, it); });
   }
   for (const auto& it : effects.prepare) {
-    Enqueue([this, it] { Prepare(it); });
+    Enqueue([this, group, it] { Prepare(group, it); });
   }
 }
 
@@ -366,8 +363,7 @@
   Effects effects = group->Tick();
   const Millis due = effects.due;
   CarryOut(group, std::move(effects));
-  const bool overdue = group->AbortOverdue();
-  return overdue ? Min(due, SteadyNow() + kAbortAgain) : due;
+  return Min(due, group->AbortOverdue(SteadyNow()));
 }
 
 void PartExecutor::Impl::RunAttempt(const GroupPtr& group,
@@ -403,8 +399,10 @@
   const auto connection = order.pool->TakeSpare();
   if (!connection) return;
   ++cancels_sent_;
+  BeginControl(group, connection);
   const CancelReply reply = SendCancelRequest(WireId(order.attempt), connection,
-                                              options_.connect_timeout);
+                                              options_.control_timeout);
+  group->EndControl(connection);
   if (reply.reusable) {
     order.pool->Return(connection);
   } else {
@@ -415,10 +413,22 @@
   CarryOut(group, group->ConfirmCancel(order.attempt));
 }
 
-void PartExecutor::Impl::Prepare(const std::shared_ptr<ConnectionPool>& pool) {
+void PartExecutor::Impl::BeginControl(
+    const GroupPtr& group,
+    const std::shared_ptr<http::Connection>& connection) {
+  const Millis until = SteadyNow() + options_.control_timeout;
+  group->BeginControl(connection, until);
+  timers_.WakeBy(group, until);
+}
+
+void PartExecutor::Impl::Prepare(const GroupPtr& group,
+                                 const std::shared_ptr<ConnectionPool>& pool) {
   const auto connection = pool->TakeToWarm();
   if (!connection) return;
-  if (WarmUp(connection, options_.connect_timeout)) {
+  BeginControl(group, connection);
+  const bool warm = WarmUp(connection, options_.control_timeout);
+  group->EndControl(connection);
+  if (warm) {
     pool->Return(connection);
   } else {
     pool->Discard(connection);
--- a/packages/limits/src/group_attempts.cc
+++ b/packages/limits/src/group_attempts.cc
@@ -116,7 +116,7 @@
     ReleaseSlot(step, id);
     return;
   }
-  NoteAbandoned(step, attempt, step.now >= attempt.deadline);
+  NoteAbandoned(step, attempt);
   ++state.counters.cancels;
   step.actions->emplace_back(CancelAttempt{id, attempt.server});
   attempt.abandoned = true;
@@ -228,7 +228,8 @@
   // Nothing was sent, so that this attempt did not run.
   if (report.code == Code::kConnectFailed) --task.handed;
   for (const auto& version : report.held) task.held.push_back(version);
-  if (now >= attempt.deadline) {
+  // The shell's own timeout may end a little before the instant.
+  if (now >= attempt.deadline || report.code == Code::kDeadlineExceeded) {
     internal::FinishTask(step, attempt.task, Code::kDeadlineExceeded, {});
   } else if (report.code == Code::kOk) {
     if (attempt.kind == AttemptKind::kHedge) ++state->counters.hedges_won;
--- a/packages/limits/src/group_health.cc
+++ b/packages/limits/src/group_health.cc
@@ -105,8 +105,7 @@
   }
 }
 
-void NoteAbandoned(const Step& step, const AttemptState& attempt,
-                   bool at_deadline) {
+void NoteAbandoned(const Step& step, const AttemptState& attempt) {
   GroupState& state = *step.state;
   ServerState& server = state.servers[attempt.server];
   const Millis elapsed = step.now - attempt.handed_at;
@@ -118,6 +117,8 @@
     AddSample(sketch, elapsed);
   }
   if (elapsed > server.latency) RecordLatency(&server, elapsed);
+  const bool at_deadline =
+      step.now + state.policy.slot_grace >= attempt.deadline;
   if (!at_deadline) return;
   if (known && elapsed < Quantile(*sketch, kSlowQuantile)) return;
   NoteFailure(step, attempt.server, Code::kDeadlineExceeded);
--- a/packages/limits/src/group_internal.h
+++ b/packages/limits/src/group_internal.h
@@ -63,9 +63,8 @@
 // Takes note of what an attempt's end says about its server.
 void NoteResult(const Step& step, uint32_t server, Code code);
 
-// What an attempt that was given up after `elapsed` says about its server.
-void NoteAbandoned(const Step& step, const AttemptState& attempt,
-                   bool at_deadline);
+// What an attempt that is given up now says about its server.
+void NoteAbandoned(const Step& step, const AttemptState& attempt);
 
 Decision MakeDecision(const Step& step, DecisionKind kind,
                       const TaskState& task);
