--- a/packages/records/include/hibiscuspick/records/bucket.h
+++ b/packages/records/include/hibiscuspick/records/bucket.h
@@ -14,17 +14,26 @@
 
 namespace hibiscuspick::records {
 
-// How keys are laid out in buckets. All instances must agree; changing a number
-// needs new object names.
+// Where keys' claims lie. Every instance must use the same layout, and it can't
+// be changed under the same object kind: a key looked for in another bucket
+// than the one that holds its claim would run again. So none of this comes from
+// the settings tree.
+struct Layout {
+  Millis slot{10.0 * 60 * 1000};
+  // A day, the slot being filled, and two for dates slightly ahead and clocks
+  // that differ.
+  uint64_t ring_slots = 147;
+  uint64_t buckets_per_slot = 64;
+  uint64_t undated_buckets = 256;
+};
+
 struct Rules {
-  // Keys dated longer ago are refused. The ring holds this much time and two
-  // slots more.
+  Layout layout;
+  // Keys dated longer ago are refused. More than the ring holds counts as what
+  // it holds. Instances may differ here while a change spreads.
   Millis window{24.0 * 3600 * 1000};
-  Millis slot{30.0 * 60 * 1000};
   // A key dated later than now by more than this is refused.
   Millis max_ahead{60 * 1000};
-  uint32_t buckets_per_slot = 16;
-  uint32_t undated_buckets = 256;
   size_t max_key = 128;
   // Serialised size at which a bucket takes no more claims, under the
   // platform's limit of a megabyte so that outcomes still fit.
@@ -33,6 +42,9 @@
   size_t max_result = 2000;
 };
 
+// The longest window that the layout can hold.
+Millis LongestWindow(const Layout& layout);
+
 // Where a key's claim lives.
 struct Place {
   std::string bucket;
--- a/packages/records/src/bucket.cc
+++ b/packages/records/src/bucket.cc
@@ -24,17 +24,10 @@
                      [](char c) { return c >= ' ' && c != 0x7f; });
 }
 
-uint64_t SlotOf(const Rules& rules, Millis date) {
-  return static_cast<uint64_t>(std::floor(date.count / rules.slot.count));
-}
-
-// Slots in the ring: the window, the one being filled, and one for keys dated
-// slightly ahead, so that a slot's object is reused only for dates whose
-// predecessors there are out of the window.
-uint64_t RingSize(const Rules& rules) {
-  const double slots = std::ceil(rules.window.count / rules.slot.count);
-  return static_cast<uint64_t>(slots) + 3;
-}
+// Slots that the ring has beyond its window: the one being filled, and two for
+// keys dated ahead and for clocks that differ, so that a slot's object is
+// reused only for dates whose predecessors there are out of the window.
+constexpr uint64_t kSpareSlots = 3;
 
 char StateLetter(EntryState state) {
   switch (state) {
@@ -116,6 +109,10 @@
 
 }  // namespace
 
+Millis LongestWindow(const Layout& layout) {
+  return layout.slot * static_cast<double>(layout.ring_slots - kSpareSlots);
+}
+
 std::optional<Millis> DateOf(const std::string& key) {
   if (key.size() <= kDateDigits || key[kDateDigits] != '-') {
     return std::nullopt;
@@ -133,20 +130,22 @@
   if (key.empty()) return Malformed("must not be empty");
   if (key.size() > rules.max_key) return Malformed("is too long");
   if (!IsPrintable(key)) return Malformed("has control characters");
+  const Layout& layout = rules.layout;
   const uint64_t hash = Hash(key, Hash(service));
   const auto date = DateOf(key);
   if (!date) {
-    return Place{"undated-" + std::to_string(hash % rules.undated_buckets), 0};
+    return Place{"undated-" + std::to_string(hash % layout.undated_buckets), 0};
   }
   if (*date > wall_now + rules.max_ahead) {
     return Malformed("is dated ahead of time");
   }
-  if (*date < wall_now - rules.window) {
+  if (*date < wall_now - Min(rules.window, LongestWindow(layout))) {
     return Error{Code::kKeyTooOld, "$.key", ""};
   }
-  const uint64_t slot = SlotOf(rules, *date);
-  return Place{"ring-" + std::to_string(slot % RingSize(rules)) + "-" +
-                   std::to_string(hash % rules.buckets_per_slot),
+  const auto slot =
+      static_cast<uint64_t>(std::floor(date->count / layout.slot.count));
+  return Place{"ring-" + std::to_string(slot % layout.ring_slots) + "-" +
+                   std::to_string(hash % layout.buckets_per_slot),
                slot};
 }
 
--- a/packages/records/tests/bucket_test.cc
+++ b/packages/records/tests/bucket_test.cc
@@ -44,6 +44,15 @@
   }
 }
 
+// An operator sets a window longer than the ring. Obeyed, it would let a key
+// pass whose claim has been swept.
+BOOST_AUTO_TEST_CASE(a_window_never_outlasts_the_ring) {
+  Rules rules;
+  rules.window = Millis(30.0 * 24 * 3600 * 1000);
+  BOOST_TEST(LongestWindow(rules.layout).count == 24.0 * 3600 * 1000);
+  BOOST_TEST(!IsOk(PlaceOf(rules, "claims", "1764600000000-x", kNow)));
+}
+
 BOOST_AUTO_TEST_CASE(a_bucket_reads_as_it_was_written) {
   BucketValue value;
   value.epoch = 9;
--- a/packages/records/tests/record_faults_test.cc
+++ b/packages/records/tests/record_faults_test.cc
@@ -264,7 +264,7 @@
 // since the platform takes only some hundred a second.
 BOOST_AUTO_TEST_CASE(claims_that_wait_share_one_write) {
   RecordWorld world(1);
-  world.rules.undated_buckets = 1;
+  world.rules.layout.undated_buckets = 1;
   RecordInstance* it = &world.instances[0];
   for (int i = 0; i < 50; ++i) world.Start(it, "k" + std::to_string(i), "y");
   world.Settle();
--- a/packages/records/tests/record_world.h
+++ b/packages/records/tests/record_world.h
@@ -71,9 +71,10 @@
 
   explicit RecordWorld(uint64_t seed) : random(seed) {
     rules.window = Millis(3000);
-    rules.slot = Millis(1000);
-    rules.buckets_per_slot = 1;
-    rules.undated_buckets = 2;
+    rules.layout.slot = Millis(1000);
+    rules.layout.ring_slots = 6;
+    rules.layout.buckets_per_slot = 1;
+    rules.layout.undated_buckets = 2;
     rules.max_ahead = Millis(500);
   }
 
