--- a/packages/settings/src/config_store.cc
+++ b/packages/settings/src/config_store.cc
@@ -39,6 +39,7 @@
   applied->gap = store->complete_to < delta.after;
   if (!applied->gap && delta.complete_to > store->complete_to) {
     store->complete_to = delta.complete_to;
+    store->known = true;
     applied->watermark_raised = true;
   }
   if (applied->watermark_raised || !applied->changed.empty()) {
@@ -83,6 +84,8 @@
   }
   if (delta.after.value == 0) FindOlder(*store, delta, &applied);
   ApplyObjects(store, delta, &applied);
+  if (!store->known) ++store->generation;
+  store->known = true;
   return applied;
 }
 
