--- a/packages/operators/src/api.cc
+++ b/packages/operators/src/api.cc
@@ -103,8 +103,7 @@
 Reply HandleGet(const Ports& ports, const Request& request,
                 const ObjectName& name) {
   const auto configuration = ports.configuration();
-  if (!IsKnown(configuration.get()))
-    return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get())) return NotReadyReply();
   if (name.kind == ObjectKind::kSettings && WantsEffective(request)) {
     return EffectiveReply(ports, *configuration, request, name);
   }
@@ -113,8 +112,7 @@
 
 Reply HandleList(const Ports& ports, ObjectKind kind) {
   const auto configuration = ports.configuration();
-  if (!IsKnown(configuration.get()))
-    return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get())) return NotReadyReply();
   return ListReply(*configuration, kind);
 }
 
--- a/packages/operators/src/precondition.cc
+++ b/packages/operators/src/precondition.cc
@@ -1,7 +1,9 @@
 #include "precondition.h"
 
 #include <charconv>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace hibiscuspick::operators {
 namespace {
--- a/packages/operators/src/reply.cc
+++ b/packages/operators/src/reply.cc
@@ -24,6 +24,10 @@
   return configuration && configuration->known;
 }
 
+Reply NotReadyReply() {
+  return ErrorReply(kStatusUnavailable, Code::kNotReady);
+}
+
 Reply FaultsReply(const std::vector<settings::Fault>& faults) {
   Reply reply = ErrorReply(kStatusUnprocessable, Code::kInvalidValue);
   reply.body["faults"] = FaultsJson(faults);
--- a/packages/operators/src/reply.h
+++ b/packages/operators/src/reply.h
@@ -31,6 +31,9 @@
 // Whether the instance knows what is stored.
 bool IsKnown(const settings::Configuration* configuration);
 
+// 503 while it doesn't.
+Reply NotReadyReply();
+
 // 422 with every fault.
 Reply FaultsReply(const std::vector<settings::Fault>& faults);
 
--- a/packages/operators/src/write.cc
+++ b/packages/operators/src/write.cc
@@ -1,8 +1,10 @@
 #include "write.h"
 
 #include <charconv>
+#include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "hibiscuspick/base/hash.h"
 #include "hibiscuspick/base/log.h"
@@ -276,7 +278,7 @@
   const bool lost_drain = write.precondition.kind == PreconditionKind::kAny &&
                           write.value.is_null() && !in_force.exists();
   if (Matches(write.precondition, in_force) && !lost_drain) return in_force;
-  const auto stored = ReadPresent(write);
+  auto stored = ReadPresent(write);
   if (!IsOk(stored) || ValueOf(stored).version >= in_force.version) {
     return stored;
   }
@@ -352,8 +354,7 @@
                       "X-Write-Id must be a name");
   }
   auto configuration = ports.configuration();
-  if (!IsKnown(configuration.get()))
-    return ErrorReply(kStatusUnavailable, Code::kNotReady);
+  if (!IsKnown(configuration.get())) return NotReadyReply();
   const std::string write_id = WriteIdOf(ports, request, value);
   Write write{ports,
               name,
--- a/packages/operators/tests/api_bench.h
+++ b/packages/operators/tests/api_bench.h
@@ -1,6 +1,7 @@
 // The operators' API of two instances over one fake platform.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <mutex>
 #include <string>
--- a/packages/operators/tests/api_test.cc
+++ b/packages/operators/tests/api_test.cc
@@ -19,7 +19,7 @@
 
 namespace {
 
-const std::string kSystem = "/v1/settings/system";
+constexpr char kSystem[] = "/v1/settings/system";
 
 Json Deadline(int ms) { return {{"deadline_ms", ms}}; }
 
--- a/packages/operators/tests/drain_test.cc
+++ b/packages/operators/tests/drain_test.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-const std::string kDrain = "/v1/drains/b1";
+constexpr char kDrain[] = "/v1/drains/b1";
 
 }  // namespace
 
--- a/packages/operators/tests/server_test.cc
+++ b/packages/operators/tests/server_test.cc
@@ -17,7 +17,9 @@
 namespace {
 
 const hp::Millis kLong(60000);
-const std::string kGood = std::string("Bearer ") + hp::operators::kToken;
+std::string GoodToken() {
+  return std::string("Bearer ") + hp::operators::kToken;
+}
 
 // An instance's operators' port.
 struct Port {
@@ -47,7 +49,7 @@
 }
 
 httplib::Request Get(const std::string& path) {
-  return With(MakeRequest("GET", path), "Authorization", kGood);
+  return With(MakeRequest("GET", path), "Authorization", GoodToken());
 }
 
 struct TokenCase {
@@ -98,7 +100,7 @@
   const Port port;
   auto request = With(
       MakeRequest("PUT", "/v1/settings/customer/c", R"({"deadline_ms": 100})"),
-      "Authorization", kGood);
+      "Authorization", GoodToken());
   request.set_header("If-None-Match", "*");
   std::string body;
   BOOST_TEST(port.Send(request, &body) == 200);
@@ -115,7 +117,7 @@
   const Port port;
   const auto put = [&](std::string body) {
     auto request = With(MakeRequest("PUT", "/v1/routes/r", std::move(body)),
-                        "Authorization", kGood);
+                        "Authorization", GoodToken());
     request.set_header("If-None-Match", "*");
     return port.Send(request);
   };
--- a/packages/platform/tests/accept_write_test.cc
+++ b/packages/platform/tests/accept_write_test.cc
@@ -21,7 +21,7 @@
 
 namespace {
 
-const std::string kName = "settings/system";
+constexpr char kName[] = "settings/system";
 
 std::optional<hp::settings::Envelope> PresentOf(const FakePlatform& platform) {
   const auto it = platform.objects.find(kName);
--- a/packages/platform/tests/standin_calls_test.cc
+++ b/packages/platform/tests/standin_calls_test.cc
@@ -18,7 +18,7 @@
 
 namespace {
 
-const std::string kName = "settings/customer/c";
+constexpr char kName[] = "settings/customer/c";
 
 struct Bench {
   hp::standins::PlatformStandin platform;
--- a/packages/settings/include/hibiscuspick/settings/json_reader.h
+++ b/packages/settings/include/hibiscuspick/settings/json_reader.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,16 +42,16 @@
   const Json& Array(const std::string& key);
 
   std::string Text(const std::string& key,
-                   std::optional<std::string> fallback = std::nullopt);
-  std::string NameText(const std::string& key,
-                       std::optional<std::string> fallback = std::nullopt);
+                   const std::optional<std::string>& fallback = std::nullopt);
+  std::string NameText(
+      const std::string& key,
+      const std::optional<std::string>& fallback = std::nullopt);
   int64_t Integer(const std::string& key, IntegerRange range,
                   std::optional<int64_t> fallback = std::nullopt);
   bool Flag(const std::string& key, bool fallback);
   Address IpAddress(const std::string& key);
   // One of the words; gives its place in the list.
-  size_t Choice(const std::string& key,
-                const std::vector<std::string_view>& words,
+  size_t Choice(const std::string& key, std::span<const std::string_view> words,
                 std::optional<size_t> fallback = std::nullopt);
 
   // Notes a fault of this field.
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -1,5 +1,6 @@
 #include "hibiscuspick/settings/daemon_settings.h"
 
+#include <array>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,11 +12,11 @@
 namespace hibiscuspick::settings {
 namespace {
 
-constexpr int64_t kHour = 3600 * 1000;
+constexpr int64_t kHour = 3'600'000;
 
-const std::vector<std::string_view> kLevels = {"trace", "debug", "info",
-                                               "warn",  "error", "off"};
-const std::vector<std::string_view> kFormats = {"text", "json"};
+constexpr std::array<std::string_view, 6> kLevels = {"trace", "debug", "info",
+                                                     "warn",  "error", "off"};
+constexpr std::array<std::string_view, 2> kFormats = {"text", "json"};
 
 // An optional object below the root; a missing one reads as empty.
 const Json& Section(JsonReader* reader, const std::string& key) {
--- a/packages/settings/src/json_reader.cc
+++ b/packages/settings/src/json_reader.cc
@@ -66,7 +66,7 @@
 }
 
 std::string JsonReader::Text(const std::string& key,
-                             std::optional<std::string> fallback) {
+                             const std::optional<std::string>& fallback) {
   const Json* field = Find(key);
   if (!field) {
     if (!fallback) Add(key, "is missing");
@@ -80,9 +80,9 @@
 }
 
 std::string JsonReader::NameText(const std::string& key,
-                                 std::optional<std::string> fallback) {
+                                 const std::optional<std::string>& fallback) {
   const size_t before = faults_->size();
-  std::string text = Text(key, std::move(fallback));
+  std::string text = Text(key, fallback);
   if (faults_->size() == before && Has(key) && !IsName(text)) {
     Add(key,
         "must be a name: at most 100 letters, digits, '.', '_' "
@@ -126,7 +126,7 @@
 }
 
 size_t JsonReader::Choice(const std::string& key,
-                          const std::vector<std::string_view>& words,
+                          std::span<const std::string_view> words,
                           std::optional<size_t> fallback) {
   const Json* field = Find(key);
   if (!field) {
@@ -135,8 +135,7 @@
   }
   std::string all;
   for (size_t i = 0; i < words.size(); ++i) {
-    if (field->is_string() && field->get_ref<const std::string&>() == words[i])
-      return i;
+    if (*field == words[i]) return i;
     all += (i == 0 ? "" : ", ") + std::string(words[i]);
   }
   Add(key, "must be one of: " + all);
--- a/packages/settings/src/object_json.cc
+++ b/packages/settings/src/object_json.cc
@@ -1,5 +1,6 @@
 #include "hibiscuspick/settings/object_json.h"
 
+#include <array>
 #include <set>
 #include <utility>
 
@@ -12,11 +13,11 @@
 constexpr int64_t kMaxConnections = 100000;
 constexpr size_t kMaxReason = 500;
 
-const std::vector<std::string_view> kPrefers = {"latency", "coverage"};
+constexpr std::array<std::string_view, 2> kPrefers = {"latency", "coverage"};
 
-std::vector<std::string_view> LaneNames() {
-  std::vector<std::string_view> names;
-  for (const Lane it : kAllLanes) names.push_back(LaneName(it));
+std::array<std::string_view, kLaneCount> LaneNames() {
+  std::array<std::string_view, kLaneCount> names;
+  for (const Lane it : kAllLanes) names[LaneIndex(it)] = LaneName(it);
   return names;
 }
 
--- a/packages/settings/src/settings_keys.cc
+++ b/packages/settings/src/settings_keys.cc
@@ -13,7 +13,6 @@
 constexpr unsigned kTop = Bit(Level::kSystem) | Bit(Level::kDataCentre);
 constexpr unsigned kPerCustomer = kTop | Bit(Level::kCustomer);
 constexpr unsigned kPerService = kTop | Bit(Level::kService);
-constexpr unsigned kPerRoute = kTop | Bit(Level::kRoute);
 constexpr unsigned kPerRequest = kPerCustomer | Bit(Level::kRoute);
 constexpr unsigned kEverywhere = kPerRequest | Bit(Level::kService);
 
