Settings: build the configuration view from the last one

Every raised watermark builds the view anew, and the platform's revision rises with every record, so this can come each second.

A test holds the view built in steps to the one built at once. Warnings come in one order at all instances.

--- a/packages/settings/include/hibiscuspick/settings/configuration.h
+++ b/packages/settings/include/hibiscuspick/settings/configuration.h
@@ -38,15 +38,20 @@
   // The objects it was built from, deleted ones included, for the operators'
   // API and status.
   std::map<std::string, ConfigObject> objects;
+  // Objects whose value can't be read, with the reasons.
+  std::map<std::string, std::vector<Fault>> unreadable;
   // What doesn't fit together or could not be read: `place` is the object's
   // name and JSON path. Traffic goes on; a shard that no known server holds
   // counts as missing.
   std::vector<Fault> warnings;
 };
 
-// Builds the view. An object that can't be read (a newer release may write
-// what this one doesn't know) keeps the value it has in `last`, if there is
-// one, and is named in the warnings.
+// Builds the view, reading only what changed since `last`, which must have
+// been built from the same store. Most calls follow a raised watermark and
+// find nothing changed; reading everything each time would take a daemon's
+// whole share of processor time for control. An object that can't be read (a
+// newer release may write what this one doesn't know) keeps the value it has
+// in `last`, if there is one, and is named in the warnings.
 std::shared_ptr<const Configuration> BuildConfiguration(
     const ConfigStore& store, const Configuration* last = nullptr);
 
--- a/packages/settings/include/hibiscuspick/settings/settings_tree.h
+++ b/packages/settings/include/hibiscuspick/settings/settings_tree.h
@@ -44,6 +44,8 @@
 
 void SetLevel(SettingsTree* tree, const TreePath& path, LevelValues values);
 
+void EraseLevel(SettingsTree* tree, const TreePath& path);
+
 // The node's own values, nullptr if it sets none.
 const LevelValues* FindLevel(const SettingsTree& tree, const TreePath& path);
 
--- a/packages/settings/src/configuration.cc
+++ b/packages/settings/src/configuration.cc
@@ -1,6 +1,7 @@
 #include "hibiscuspick/settings/configuration.h"
 
-#include <optional>
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "hibiscuspick/settings/cross_check.h"
@@ -11,137 +12,153 @@
 namespace hibiscuspick::settings {
 namespace {
 
-// Builds one Configuration; `last` is what was in force before.
-struct Builder {
-  const Configuration* last;
-  Configuration* out;
+// Each Add… below puts one object's value into the view, or leaves what is
+// there and gives the faults.
 
-  void Warn(const std::string& name, const std::vector<Fault>& faults) {
-    for (const auto& it : faults) {
-      out->warnings.push_back({it.code, name + " " + it.place, it.message});
-    }
-  }
-};
-
-// Takes the object's value from the last view, where it is still readable.
-template <class Map, class Id>
-void KeepLast(const Map* last, const Id& id, Map* out) {
-  if (!last) return;
-  const auto it = last->find(id);
-  if (it != last->end()) (*out)[id] = it->second;
-}
-
-// The member of the last view, nullptr if there is none.
-template <class T>
-const T* LastOf(const Builder& builder, T Configuration::*member) {
-  return builder.last ? &(builder.last->*member) : nullptr;
-}
-
-void AddService(Builder* builder, const ObjectName& name,
-                const Envelope& envelope) {
+std::vector<Fault> AddService(const ObjectName& name, const Json& value,
+                              Configuration* out) {
   const ServiceId id(name.rest);
-  const auto service = ReadService(id, envelope.value);
-  if (IsGood(service)) {
-    builder->out->services[id] = GoodOf(service);
-    return;
-  }
-  builder->Warn(ToText(name), FaultsOf(service));
-  KeepLast(LastOf(*builder, &Configuration::services), id,
-           &builder->out->services);
+  const auto service = ReadService(id, value);
+  if (!IsGood(service)) return FaultsOf(service);
+  out->services[id] = GoodOf(service);
+  return {};
 }
 
-void AddRoute(Builder* builder, const ObjectName& name,
-              const Envelope& envelope) {
+std::vector<Fault> AddRoute(const ObjectName& name, const Json& value,
+                            Configuration* out) {
   const RouteId id(name.rest);
-  const auto route = ReadRoute(id, envelope.value);
-  if (IsGood(route)) {
-    builder->out->routes[id] = GoodOf(route);
-    return;
-  }
-  builder->Warn(ToText(name), FaultsOf(route));
-  KeepLast(LastOf(*builder, &Configuration::routes), id, &builder->out->routes);
+  const auto route = ReadRoute(id, value);
+  if (!IsGood(route)) return FaultsOf(route);
+  out->routes[id] = GoodOf(route);
+  return {};
 }
 
-void AddSnapshot(Builder* builder, const ObjectName& name, Revision version,
-                 const Envelope& envelope) {
+// The present manifest and the earlier ones; an earlier one that can't be read
+// is only left out.
+std::vector<Fault> AddSnapshot(const ObjectName& name, Revision version,
+                               const Envelope& envelope, Configuration* out) {
   const SnapshotName id(name.rest);
-  std::vector<EarlierValue> values = {{version, envelope.value}};
-  values.insert(values.end(), envelope.previous.begin(),
-                envelope.previous.end());
-  Manifests manifests;
-  for (const auto& it : values) {
-    const auto snapshot = ReadSnapshot(id, it.version, it.value);
-    if (IsGood(snapshot)) {
-      manifests.push_back(std::make_shared<const Snapshot>(GoodOf(snapshot)));
-      continue;
+  const auto present = ReadSnapshot(id, version, envelope.value);
+  if (!IsGood(present)) return FaultsOf(present);
+  std::vector<Fault> faults;
+  Manifests manifests = {std::make_shared<const Snapshot>(GoodOf(present))};
+  for (const auto& it : envelope.previous) {
+    const auto earlier = ReadSnapshot(id, it.version, it.value);
+    if (IsGood(earlier)) {
+      manifests.push_back(std::make_shared<const Snapshot>(GoodOf(earlier)));
     }
-    builder->Warn(ToText(name), FaultsOf(snapshot));
-    if (manifests.empty()) break;
+    for (auto& fault : FaultsOf(earlier)) faults.push_back(std::move(fault));
   }
-  if (!manifests.empty()) {
-    builder->out->snapshots[id] = std::move(manifests);
-    return;
-  }
-  KeepLast(LastOf(*builder, &Configuration::snapshots), id,
-           &builder->out->snapshots);
+  out->snapshots[id] = std::move(manifests);
+  return faults;
 }
 
-void AddLevel(Builder* builder, const ObjectName& name,
-              const Envelope& envelope) {
+std::vector<Fault> AddLevel(const ObjectName& name, const Json& value,
+                            Configuration* out) {
   const auto path = ParseTreePath(name.rest);
-  const auto values = ReadLevelValues(path->level, envelope.value);
-  if (IsGood(values)) {
-    SetLevel(&builder->out->settings, *path, GoodOf(values));
-    return;
-  }
-  builder->Warn(ToText(name), FaultsOf(values));
-  const auto* last = LastOf(*builder, &Configuration::settings);
-  if (!last) return;
-  if (const auto* kept = FindLevel(*last, *path)) {
-    SetLevel(&builder->out->settings, *path, *kept);
-  }
+  const auto values = ReadLevelValues(path->level, value);
+  if (!IsGood(values)) return FaultsOf(values);
+  SetLevel(&out->settings, *path, GoodOf(values));
+  return {};
 }
 
-void AddObject(Builder* builder, const ConfigObject& object) {
-  const auto name = ParseObjectName(object.name);
-  if (!name) {
-    builder->Warn(object.name, {{Code::kInvalidValue, "", "unknown kind"}});
-    return;
-  }
-  const auto parsed = ReadEnvelopeText(object.text);
-  // An envelope that can't be read reads as a value that can't be read: the
-  // last one is kept.
-  const Envelope envelope = IsOk(parsed) ? ValueOf(parsed) : Envelope();
-  if (envelope.deleted) return;
-  switch (name->kind) {
+std::vector<Fault> AddValue(const ObjectName& name, Revision version,
+                            const Envelope& envelope, Configuration* out) {
+  switch (name.kind) {
     case ObjectKind::kService:
-      return AddService(builder, *name, envelope);
+      return AddService(name, envelope.value, out);
     case ObjectKind::kRoute:
-      return AddRoute(builder, *name, envelope);
+      return AddRoute(name, envelope.value, out);
     case ObjectKind::kSnapshot:
-      return AddSnapshot(builder, *name, object.version, envelope);
+      return AddSnapshot(name, version, envelope, out);
     case ObjectKind::kSettings:
-      return AddLevel(builder, *name, envelope);
+      return AddLevel(name, envelope.value, out);
     case ObjectKind::kDrain:
       // Even an unreadable order to drain is an order to drain.
-      builder->out->drains.insert(BackendServerId(name->rest));
+      out->drains.insert(BackendServerId(name.rest));
+      return {};
+  }
+  return {};
+}
+
+void RemoveValue(const ObjectName& name, Configuration* out) {
+  switch (name.kind) {
+    case ObjectKind::kService:
+      out->services.erase(ServiceId(name.rest));
+      return;
+    case ObjectKind::kRoute:
+      out->routes.erase(RouteId(name.rest));
       return;
+    case ObjectKind::kSnapshot:
+      out->snapshots.erase(SnapshotName(name.rest));
+      return;
+    case ObjectKind::kSettings:
+      EraseLevel(&out->settings, *ParseTreePath(name.rest));
+      return;
+    case ObjectKind::kDrain:
+      out->drains.erase(BackendServerId(name.rest));
+      return;
+  }
+}
+
+// Puts one changed object into the view.
+std::vector<Fault> TakeObject(const ConfigObject& object, Configuration* out) {
+  const auto name = ParseObjectName(object.name);
+  if (!name) return {{Code::kInvalidValue, "", "unknown kind"}};
+  const auto parsed = ReadEnvelopeText(object.text);
+  // An envelope that can't be read reads as a value that can't be read.
+  const Envelope envelope = IsOk(parsed) ? ValueOf(parsed) : Envelope();
+  if (!envelope.deleted) {
+    return AddValue(*name, object.version, envelope, out);
+  }
+  RemoveValue(*name, out);
+  return {};
+}
+
+// Takes the object if it is newer than what the view was built from.
+bool TakeIfChanged(const ConfigObject& object, Configuration* out) {
+  auto& known = out->objects[object.name];
+  if (known.version == object.version) return false;
+  known = object;
+  auto faults = TakeObject(object, out);
+  if (faults.empty()) {
+    out->unreadable.erase(object.name);
+  } else {
+    out->unreadable[object.name] = std::move(faults);
+  }
+  return true;
+}
+
+std::vector<Fault> AllWarnings(const Configuration& configuration) {
+  std::vector<Fault> warnings;
+  for (const auto& [name, faults] : configuration.unreadable) {
+    for (const auto& it : faults) {
+      warnings.push_back({it.code, name + " " + it.place, it.message});
+    }
+  }
+  for (auto& it : FindMismatches(configuration)) {
+    warnings.push_back(std::move(it));
   }
+  // The maps have no order of their own; instances should list alike.
+  std::sort(warnings.begin(), warnings.end(), [](auto& a, auto& b) {
+    return std::tie(a.place, a.message) < std::tie(b.place, b.message);
+  });
+  return warnings;
 }
 
 }  // namespace
 
 std::shared_ptr<const Configuration> BuildConfiguration(
     const ConfigStore& store, const Configuration* last) {
-  auto out = std::make_shared<Configuration>();
+  auto out = last ? std::make_shared<Configuration>(*last)
+                  : std::make_shared<Configuration>();
   out->complete_to = store.complete_to;
   out->known = store.known;
-  out->objects = store.objects;
-  Builder builder{last, out.get()};
+  bool changed = false;
   for (const auto& [name, object] : store.objects) {
-    AddObject(&builder, object);
+    if (TakeIfChanged(object, out.get())) changed = true;
   }
-  for (auto& it : FindMismatches(*out)) out->warnings.push_back(std::move(it));
+  if (changed) out->warnings = AllWarnings(*out);
   return out;
 }
 
--- a/packages/settings/src/cross_check.cc
+++ b/packages/settings/src/cross_check.cc
@@ -22,6 +22,14 @@
                      [&](const auto& it) { return it.id == id; });
 }
 
+// Notes the owner; of two the one whose name sorts first, so that all instances
+// name the same.
+template <class Map, class Place>
+void NoteOwner(Map* owners, const Place& place, const ServiceId& service) {
+  const auto [it, inserted] = owners->emplace(place, service);
+  if (!inserted && service < it->second) it->second = service;
+}
+
 // Which service has a server, by its id and by its address.
 struct ServerIndex {
   std::map<BackendServerId, ServiceId> by_id;
@@ -29,8 +37,8 @@
 
   void Add(const Service& service) {
     for (const auto& it : service.backend_servers) {
-      by_id.emplace(it.id, service.id);
-      by_address.emplace(it.address, service.id);
+      NoteOwner(&by_id, it.id, service.id);
+      NoteOwner(&by_address, it.address, service.id);
     }
   }
   // Another service that has the server, if there is one.
--- a/packages/settings/src/settings_tree.cc
+++ b/packages/settings/src/settings_tree.cc
@@ -182,6 +182,28 @@
   }
 }
 
+void EraseLevel(SettingsTree* tree, const TreePath& path) {
+  switch (path.level) {
+    case Level::kDefault:
+      return;
+    case Level::kSystem:
+      tree->system = LevelValues();
+      return;
+    case Level::kDataCentre:
+      tree->data_centres.erase(DataCentreId(path.name));
+      return;
+    case Level::kCustomer:
+      tree->customers.erase(CustomerId(path.name));
+      return;
+    case Level::kService:
+      tree->services.erase(ServiceId(path.name));
+      return;
+    case Level::kRoute:
+      tree->routes.erase(RouteId(path.name));
+      return;
+  }
+}
+
 const LevelValues* FindLevel(const SettingsTree& tree, const TreePath& path) {
   switch (path.level) {
     case Level::kDefault:
--- a/packages/settings/tests/configuration_test.cc
+++ b/packages/settings/tests/configuration_test.cc
@@ -172,6 +172,41 @@
   BOOST_TEST(view->warnings.size() > 4);
 }
 
+// The view is built from the last one and what changed. Whatever is written,
+// broken, mended and deleted on the way, it must be the view that an instance
+// builds which starts now, or two instances would serve two configurations.
+BOOST_AUTO_TEST_CASE(a_view_built_in_steps_equals_one_built_at_once) {
+  Bench bench;
+  std::shared_ptr<const hps::Configuration> view;
+  const auto step = [&](const std::string& name, const Json& value) {
+    bench.Put(name, value);
+    view = hps::BuildConfiguration(bench.store, view.get());
+    const auto fresh = hps::BuildConfiguration(bench.store);
+    BOOST_TEST((view->objects == fresh->objects));
+    BOOST_TEST(view->services.size() == fresh->services.size());
+    BOOST_TEST(view->routes.size() == fresh->routes.size());
+    BOOST_TEST(view->snapshots.size() == fresh->snapshots.size());
+    BOOST_TEST((view->drains == fresh->drains));
+    BOOST_TEST(hps::ToText(view->warnings) == hps::ToText(fresh->warnings));
+    BOOST_TEST(
+        EffectiveJson(view->settings, {{}, hp::CustomerId("c"), {}, {}}) ==
+        EffectiveJson(fresh->settings, {{}, hp::CustomerId("c"), {}, {}}));
+  };
+  for (int round = 0; round < 2; ++round) {
+    step("services/s", Service("b1", 9101));
+    step("snapshots/n", Manifest(1 + round));
+    step("routes/r", {{"snapshot", "n"}});
+    step("settings/system", {{"deadline_ms", 70 + round}});
+    step("settings/customer/c", {{"limit", 7}});
+    step("drains/b1", Json::object());
+    for (const std::string name :
+         {"drains/b1", "settings/customer/c", "settings/system", "services/s",
+          "routes/r", "snapshots/n"}) {
+      step(name, nullptr);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(only_the_last_write_ids_are_kept) {
   std::optional<hps::Envelope> envelope;
   for (uint64_t i = 1; i <= 10; ++i) {
