--- a/packages/operators/src/api.cc
+++ b/packages/operators/src/api.cc
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <thread>
 
+#include "ask.h"
 #include "hibiscuspick/operators/bearer_token.h"
 #include "hibiscuspick/settings/envelope.h"
 #include "hibiscuspick/settings/json_reader.h"
--- /dev/null
+++ b/packages/operators/src/ask.cc
@@ -0,0 +1,72 @@
+#include "ask.h"
+
+#include <charconv>
+#include <optional>
+#include <string>
+
+#include "hibiscuspick/platform/accept_write.h"
+#include "reply.h"
+
+namespace hibiscuspick::operators {
+namespace {
+
+std::string ParameterOf(const Request& request, const std::string& key) {
+  const auto it = request.parameters.find(key);
+  return it == request.parameters.end() ? "" : it->second;
+}
+
+Reply AskReply(const std::string& outcome) {
+  return {kStatusOk, {{"outcome", outcome}}, ""};
+}
+
+// The version the write was conditional on; nothing for "none".
+Result<std::optional<Revision>> ReadExpected(const std::string& text) {
+  if (text == "none") return std::optional<Revision>();
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, number);
+  if (ec == std::errc() && rest == end) {
+    return std::optional<Revision>(Revision(number));
+  }
+  return Error{Code::kMalformedRequest, "",
+               "expected must be the version the write named, or none"};
+}
+
+Reply JudgedReply(const platform::Judgement& judged) {
+  switch (judged.verdict) {
+    case platform::WriteVerdict::kTaken: {
+      Reply reply = AskReply("accepted");
+      reply.body["version"] = judged.version.value;
+      return reply;
+    }
+    case platform::WriteVerdict::kNotTaken:
+      return AskReply("not_accepted");
+    case platform::WriteVerdict::kOpen:
+      return AskReply("open");
+    case platform::WriteVerdict::kUnknown:
+      break;
+  }
+  return ErrorReply(kStatusUnknown, Code::kAcceptanceUnknown,
+                    "too many writes came after it to tell");
+}
+
+}  // namespace
+
+Reply HandleAsk(const Ports& ports, const Request& request,
+                const settings::ObjectName& name) {
+  const std::string write_id = ParameterOf(request, "write_id");
+  const auto expected = ReadExpected(ParameterOf(request, "expected"));
+  if (write_id.empty() || !IsOk(expected)) {
+    return ErrorReply(kStatusBadRequest, Code::kMalformedRequest,
+                      "write_id and expected are needed, as the 504 gave them");
+  }
+  const auto result = ports.calls.get(platform::kConfigKind, ToText(name));
+  const bool found = IsOk(result);
+  if (!found && ErrorOf(result).code != Code::kNotFound) {
+    return ErrorReply(kStatusUnavailable, Code::kPlatformUnavailable);
+  }
+  return JudgedReply(platform::JudgeWrite(found ? &ValueOf(result) : nullptr,
+                                          write_id, ValueOf(expected)));
+}
+
+}  // namespace hibiscuspick::operators
--- a/packages/operators/src/write.cc
+++ b/packages/operators/src/write.cc
@@ -1,20 +1,21 @@
 #include "write.h"
 
-#include <charconv>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "drain_spread.h"
 #include "hibiscuspick/base/hash.h"
 #include "hibiscuspick/base/log.h"
 #include "hibiscuspick/platform/accept_write.h"
 #include "hibiscuspick/settings/cross_check.h"
 #include "hibiscuspick/settings/envelope.h"
 #include "hibiscuspick/settings/json_reader.h"
-#include "hibiscuspick/settings/object_json.h"
 #include "precondition.h"
+#include "present.h"
 #include "reply.h"
+#include "write_reply.h"
 
 namespace hibiscuspick::operators {
 namespace {
@@ -23,7 +24,6 @@
 using platform::WriteOutcome;
 using platform::WriteState;
 using platform::WriteVerdict;
-using settings::Configuration;
 using settings::Envelope;
 using settings::ObjectKind;
 using settings::ObjectName;
@@ -31,64 +31,6 @@
 // Rounds of a drain without a precondition against racing writes.
 constexpr int kMostRounds = 3;
 
-// An object as last seen, at the platform or in force here; nothing at all if
-// there never was one.
-struct Present {
-  std::optional<Revision> version;
-  std::optional<Envelope> envelope;
-
-  bool exists() const { return envelope && !envelope->deleted; }
-};
-
-// One write through its whole course.
-struct Write {
-  const Ports& ports;
-  ObjectName name;
-  std::string path;
-  // Null deletes.
-  Json value;
-  Precondition precondition;
-  std::string write_id;
-  std::shared_ptr<const Configuration> configuration;
-  std::vector<settings::Fault> warnings;
-};
-
-Present PresentOf(const StoredObject& object) {
-  const auto envelope = settings::ReadEnvelope(object.value);
-  Present present{object.version, std::nullopt};
-  if (IsOk(envelope)) present.envelope = ValueOf(envelope);
-  return present;
-}
-
-// What is in force here; empty if nothing ever was.
-Present InForce(const Write& write) {
-  const auto it = write.configuration->objects.find(write.path);
-  if (it == write.configuration->objects.end()) return {};
-  Present present{it->second.version, std::nullopt};
-  const auto envelope = settings::ReadEnvelopeText(it->second.text);
-  if (IsOk(envelope)) present.envelope = ValueOf(envelope);
-  return present;
-}
-
-bool Matches(const Precondition& precondition, const Present& present) {
-  switch (precondition.kind) {
-    case PreconditionKind::kVersion:
-      return present.exists() && present.version == precondition.version;
-    case PreconditionKind::kAbsent:
-      return !present.exists();
-    case PreconditionKind::kAny:
-      return true;
-  }
-  return false;
-}
-
-Result<Present> ReadPresent(const Write& write) {
-  const auto result = write.ports.calls.get(platform::kConfigKind, write.path);
-  if (IsOk(result)) return PresentOf(ValueOf(result));
-  if (ErrorOf(result).code == Code::kNotFound) return Present{};
-  return ErrorOf(result);
-}
-
 // An operator's own id is tied to the value and the condition, so that an id
 // used twice by mistake never answers for another write.
 std::string WriteIdOf(const Ports& ports, const Request& request,
@@ -98,57 +40,6 @@
   return request.write_id + "." + std::to_string(hash);
 }
 
-// The platform refused the write, and what it has instead couldn't be read.
-Reply UnreadConflictReply() {
-  return ErrorReply(kStatusConflict, Code::kVersionConflict,
-                    "not accepted: the object was changed; the platform does "
-                    "not answer what it is now");
-}
-
-Reply ConflictReply(const Present& present) {
-  Reply reply = ErrorReply(kStatusConflict, Code::kVersionConflict);
-  if (!present.version) {
-    reply.body["version"] = nullptr;
-    reply.body["value"] = nullptr;
-    return reply;
-  }
-  reply.body["version"] = present.version->value;
-  reply.body["value"] = present.envelope ? present.envelope->value : Json();
-  if (present.envelope && present.envelope->deleted) {
-    reply.body["deleted"] = true;
-  }
-  return reply;
-}
-
-Reply NotAcceptedReply(const Write& write, const std::string& message) {
-  Reply reply =
-      ErrorReply(kStatusUnavailable, Code::kPlatformUnavailable,
-                 "not accepted: the platform did not take it. " + message);
-  reply.body["write_id"] = write.write_id;
-  return reply;
-}
-
-Reply UnknownReply(const Write& write, std::optional<Revision> expected) {
-  Reply reply = ErrorReply(kStatusUnknown, Code::kAcceptanceUnknown);
-  reply.body["write_id"] = write.write_id;
-  reply.body["ask"] =
-      "/v1/writes/" + write.path + "?write_id=" + write.write_id +
-      "&expected=" + (expected ? std::to_string(expected->value) : "none");
-  return reply;
-}
-
-// The value is stored, but in a version that other instances refuse.
-Reply WentBackReply(const Write& write, Revision version) {
-  Reply reply = ErrorReply(
-      kStatusUnavailable, Code::kPlatformWentBack,
-      "not accepted: the platform gave version " +
-          std::to_string(version.value) +
-          ", below what is in force. It was restored from a backup; see "
-          "OPERATORS.md");
-  reply.body["write_id"] = write.write_id;
-  return reply;
-}
-
 // Fits the stored form into the platform's limit, at the cost of the oldest
 // manifests; false if the value alone is too large.
 bool FitIntoLimit(Envelope* envelope) {
@@ -159,20 +50,11 @@
   return true;
 }
 
-Reply AcceptedReply(const Write& write, Revision version) {
-  Reply reply{kStatusOk,
-              {{"version", version.value}, {"write_id", write.write_id}},
-              ""};
-  if (!write.warnings.empty()) {
-    reply.body["warnings"] = FaultsJson(write.warnings);
-  }
-  return reply;
-}
-
 // A version that isn't above what is in force comes from a counter that was
 // set back: nobody will take it.
 bool WentBack(const Write& write, Revision version) {
-  const auto known = InForce(write).version.value_or(Revision());
+  const auto known =
+      InForce(*write.configuration, write.path).version.value_or(Revision());
   return version <= known || version <= write.configuration->complete_to;
 }
 
@@ -183,7 +65,8 @@
       return NotAcceptedReply(write, "");
     case WriteOutcome::kUnknown:
       Log(Part::kConfig)
-          .warn("{} write {} has no known outcome", write.path, write.write_id);
+          .warn("Write {} of {} has no known outcome.", write.write_id,
+                write.path);
       return UnknownReply(write, state.expected);
     case WriteOutcome::kConflict:
       if (state.present) return ConflictReply(PresentOf(*state.present));
@@ -193,12 +76,12 @@
   }
   if (WentBack(write, state.version)) {
     Log(Part::kConfig)
-        .error("{} got version {} below what is in force", write.path,
+        .error("{} got version {}, below what is in force.", write.path,
                state.version.value);
     return WentBackReply(write, state.version);
   }
   Log(Part::kConfig)
-      .info("{} accepted at version {}", write.path, state.version.value);
+      .info("{} is accepted at version {}.", write.path, state.version.value);
   write.ports.on_accepted({write.path, state.version, DumpJson(stored)});
   return AcceptedReply(write, state.version);
 }
@@ -208,7 +91,8 @@
 bool PlatformIsOlder(const Write& write, const WriteState& state) {
   if (state.outcome != WriteOutcome::kConflict) return false;
   if (!state.present) return state.absent;
-  return state.present->version < InForce(write).version.value_or(Revision());
+  return state.present->version <
+         InForce(*write.configuration, write.path).version.value_or(Revision());
 }
 
 // Writes over `present`, and once more over what a restored platform has in
@@ -274,11 +158,11 @@
 // force; then what is in force counts, or an operator who knows only the old
 // value would overwrite the new one unseen.
 Result<Present> FindPresent(const Write& write) {
-  const Present in_force = InForce(write);
+  const Present in_force = InForce(*write.configuration, write.path);
   const bool lost_drain = write.precondition.kind == PreconditionKind::kAny &&
                           write.value.is_null() && !in_force.exists();
   if (Matches(write.precondition, in_force) && !lost_drain) return in_force;
-  auto stored = ReadPresent(write);
+  auto stored = ReadPresent(write.ports.calls, write.path);
   if (!IsOk(stored) || ValueOf(stored).version >= in_force.version) {
     return stored;
   }
@@ -303,7 +187,7 @@
   Reply reply = RunRound(write);
   if (write->precondition.kind != PreconditionKind::kAny) return reply;
   for (int i = 1; i < kMostRounds && reply.status == kStatusConflict; ++i) {
-    const auto found = ReadPresent(*write);
+    const auto found = ReadPresent(write->ports.calls, write->path);
     if (!IsOk(found)) return NotAcceptedReply(*write, ErrorOf(found).message);
     if (auto refused = Refuse(write, ValueOf(found))) return *refused;
     reply = WriteOver(*write, ValueOf(found));
@@ -311,36 +195,6 @@
   return reply;
 }
 
-// Work has to stop going to a broken server at once, and also while the
-// platform is down: a silent platform alone would hold this for ten seconds.
-void SpreadDrain(const Write& write) {
-  const settings::Drain drain{BackendServerId(write.name.rest), ""};
-  if (write.value.is_null()) return;
-  if (!IsGood(settings::ReadDrain(drain.server, write.value))) return;
-  write.ports.announce_drain(drain.server, true);
-}
-
-// Says that an order is only spread, which instances that start later learn
-// of no longer than others remember, and calls one back that isn't in force.
-void ConcludeDrain(const Write& write, Reply* reply) {
-  const BackendServerId server(write.name.rest);
-  const bool unstored =
-      reply->status == kStatusUnavailable || reply->status == kStatusUnknown;
-  if (write.value.is_null()) {
-    // A stored order to drain stays in force until it is deleted there.
-    const bool stays = write.configuration->drains.contains(server);
-    if (stays && reply->status != kStatusOk) return;
-    write.ports.announce_drain(server, false);
-  } else if (reply->status == kStatusConflict) {
-    const bool there =
-        reply->body.contains("value") && !reply->body["value"].is_null();
-    if (!there) write.ports.announce_drain(server, false);
-  }
-  if (!unstored) return;
-  reply->body["spread"] = true;
-  reply->body["stored"] = false;
-}
-
 Reply RunWriteRequest(const Ports& ports, const Request& request,
                       const ObjectName& name, Json value) {
   const auto precondition = ReadPrecondition(request, name.kind);
@@ -371,46 +225,6 @@
   return reply;
 }
 
-std::string ParameterOf(const Request& request, const std::string& key) {
-  const auto it = request.parameters.find(key);
-  return it == request.parameters.end() ? "" : it->second;
-}
-
-Reply AskReply(const std::string& outcome) {
-  return {kStatusOk, {{"outcome", outcome}}, ""};
-}
-
-// The version the write was conditional on; nothing for "none".
-Result<std::optional<Revision>> ReadExpected(const std::string& text) {
-  if (text == "none") return std::optional<Revision>();
-  uint64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto [rest, ec] = std::from_chars(text.data(), end, number);
-  if (ec == std::errc() && rest == end) {
-    return std::optional<Revision>(Revision(number));
-  }
-  return Error{Code::kMalformedRequest, "",
-               "expected must be the version the write named, or none"};
-}
-
-Reply JudgedReply(const platform::Judgement& judged) {
-  switch (judged.verdict) {
-    case WriteVerdict::kTaken: {
-      Reply reply = AskReply("accepted");
-      reply.body["version"] = judged.version.value;
-      return reply;
-    }
-    case WriteVerdict::kNotTaken:
-      return AskReply("not_accepted");
-    case WriteVerdict::kOpen:
-      return AskReply("open");
-    case WriteVerdict::kUnknown:
-      break;
-  }
-  return ErrorReply(kStatusUnknown, Code::kAcceptanceUnknown,
-                    "too many writes came after it to tell");
-}
-
 }  // namespace
 
 Reply HandlePut(const Ports& ports, const Request& request,
@@ -431,21 +245,4 @@
   return RunWriteRequest(ports, request, name, nullptr);
 }
 
-Reply HandleAsk(const Ports& ports, const Request& request,
-                const ObjectName& name) {
-  const std::string write_id = ParameterOf(request, "write_id");
-  const auto expected = ReadExpected(ParameterOf(request, "expected"));
-  if (write_id.empty() || !IsOk(expected)) {
-    return ErrorReply(kStatusBadRequest, Code::kMalformedRequest,
-                      "write_id and expected are needed, as the 504 gave them");
-  }
-  const auto result = ports.calls.get(platform::kConfigKind, ToText(name));
-  const bool found = IsOk(result);
-  if (!found && ErrorOf(result).code != Code::kNotFound) {
-    return ErrorReply(kStatusUnavailable, Code::kPlatformUnavailable);
-  }
-  return JudgedReply(platform::JudgeWrite(found ? &ValueOf(result) : nullptr,
-                                          write_id, ValueOf(expected)));
-}
-
 }  // namespace hibiscuspick::operators
--- a/packages/operators/src/write.h
+++ b/packages/operators/src/write.h
@@ -2,8 +2,6 @@
 // became of it, tell the daemon.
 #pragma once
 
-#include <optional>
-
 #include "hibiscuspick/operators/api.h"
 #include "hibiscuspick/settings/object_name.h"
 
@@ -15,9 +13,4 @@
 Reply HandleDelete(const Ports& ports, const Request& request,
                    const settings::ObjectName& name);
 
-// GET /v1/writes/{kind}/{name}?write_id=…&expected=…: what became of a write
-// whose answer was 504. `expected` is the version it named, or "none".
-Reply HandleAsk(const Ports& ports, const Request& request,
-                const settings::ObjectName& name);
-
 }  // namespace hibiscuspick::operators
--- /dev/null
+++ b/packages/operators/src/write_reply.cc
@@ -0,0 +1,66 @@
+#include "write_reply.h"
+
+#include "reply.h"
+
+namespace hibiscuspick::operators {
+
+Reply UnreadConflictReply() {
+  return ErrorReply(kStatusConflict, Code::kVersionConflict,
+                    "not accepted: the object was changed; the platform does "
+                    "not answer what it is now");
+}
+
+Reply ConflictReply(const Present& present) {
+  Reply reply = ErrorReply(kStatusConflict, Code::kVersionConflict);
+  if (!present.version) {
+    reply.body["version"] = nullptr;
+    reply.body["value"] = nullptr;
+    return reply;
+  }
+  reply.body["version"] = present.version->value;
+  reply.body["value"] = present.envelope ? present.envelope->value : Json();
+  if (present.envelope && present.envelope->deleted) {
+    reply.body["deleted"] = true;
+  }
+  return reply;
+}
+
+Reply NotAcceptedReply(const Write& write, const std::string& message) {
+  Reply reply =
+      ErrorReply(kStatusUnavailable, Code::kPlatformUnavailable,
+                 "not accepted: the platform did not take it. " + message);
+  reply.body["write_id"] = write.write_id;
+  return reply;
+}
+
+Reply UnknownReply(const Write& write, std::optional<Revision> expected) {
+  Reply reply = ErrorReply(kStatusUnknown, Code::kAcceptanceUnknown);
+  reply.body["write_id"] = write.write_id;
+  reply.body["ask"] =
+      "/v1/writes/" + write.path + "?write_id=" + write.write_id +
+      "&expected=" + (expected ? std::to_string(expected->value) : "none");
+  return reply;
+}
+
+Reply WentBackReply(const Write& write, Revision version) {
+  Reply reply = ErrorReply(
+      kStatusUnavailable, Code::kPlatformWentBack,
+      "not accepted: the platform gave version " +
+          std::to_string(version.value) +
+          ", below what is in force. It was restored from a backup; see "
+          "OPERATORS.md");
+  reply.body["write_id"] = write.write_id;
+  return reply;
+}
+
+Reply AcceptedReply(const Write& write, Revision version) {
+  Reply reply{kStatusOk,
+              {{"version", version.value}, {"write_id", write.write_id}},
+              ""};
+  if (!write.warnings.empty()) {
+    reply.body["warnings"] = FaultsJson(write.warnings);
+  }
+  return reply;
+}
+
+}  // namespace hibiscuspick::operators
--- a/packages/platform/src/http_calls.cc
+++ b/packages/platform/src/http_calls.cc
@@ -172,7 +172,8 @@
     if (instance) {
       out.push_back(std::move(*instance));
     } else {
-      Log(Part::kPlatform).warn("a listed instance can't be read; passed over");
+      Log(Part::kPlatform)
+          .warn("A listed instance can't be read; passed over.");
     }
   }
   return out;
