--- a/packages/dispatch/src/connection_pool.cc
+++ b/packages/dispatch/src/connection_pool.cc
@@ -55,14 +55,15 @@
 
 void ConnectionPool::Return(std::shared_ptr<http::Connection> connection) {
   if (!connection->IsOpen()) {
-    Discard(std::move(connection));
+    Discard(connection);
     return;
   }
   const std::lock_guard lock(mutex_);
   idle_.push_back({std::move(connection), SteadyNow()});
 }
 
-void ConnectionPool::Discard(std::shared_ptr<http::Connection> connection) {
+void ConnectionPool::Discard(
+    const std::shared_ptr<http::Connection>& connection) {
   {
     const std::lock_guard lock(mutex_);
     --open_;
--- a/packages/dispatch/src/connection_pool.h
+++ b/packages/dispatch/src/connection_pool.h
@@ -50,7 +50,7 @@
   void Return(std::shared_ptr<http::Connection> connection);
 
   // Gives back one that must not be used again.
-  void Discard(std::shared_ptr<http::Connection> connection);
+  void Discard(const std::shared_ptr<http::Connection>& connection);
 
  private:
   struct Idle {
--- a/packages/dispatch/tests/executor_fixture.h
+++ b/packages/dispatch/tests/executor_fixture.h
@@ -1,10 +1,12 @@
 // An executor, and a collector of what it gives out.
 #pragma once
 
+#include <algorithm>
 #include <condition_variable>
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/dispatch/part_executor.h"
--- a/packages/dispatch/tests/fake_backend.h
+++ b/packages/dispatch/tests/fake_backend.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
@@ -48,6 +49,9 @@
     server_.Get("/v1/health", [](const auto&, auto&) {});
   }
 
+  // The handlers use the other members.
+  ~FakeBackend() { server_.Stop(); }
+
   void Start() { server_.Start("127.0.0.1", 0); }
   void Stop() { server_.Stop(); }
 
--- a/packages/dispatch/tests/part_executor_test.cc
+++ b/packages/dispatch/tests/part_executor_test.cc
@@ -48,9 +48,9 @@
 // A caller hangs up while its query runs. Its attempt is cancelled at the
 // backend server and the slot serves the next caller.
 BOOST_AUTO_TEST_CASE(cancel_frees_the_slot_and_tells_the_server) {
-  FakeBackend b1("b1");
   std::atomic<bool> hang{true};
   std::atomic<bool> release{false};
+  FakeBackend b1("b1");
   b1.on_query = [&](const auto&, auto&) {
     if (!hang.exchange(false)) return;
     while (!release) std::this_thread::yield();
--- a/packages/dispatch/tests/record_test.cc
+++ b/packages/dispatch/tests/record_test.cc
@@ -8,9 +8,9 @@
 namespace hibiscuspick::dispatch {
 
 BOOST_AUTO_TEST_CASE(a_record_is_run_once) {
-  FakeBackend b1("b1");
   std::string key;
   std::string body;
+  FakeBackend b1("b1");
   b1.on_query = [&](const auto& request, auto&) {
     key = request.get_header_value("X-Record-Key");
     body = request.body;
