--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -58,7 +58,8 @@
 struct LanePolicy {
   // The least share of starts while others wait, and the tasks that may wait.
   double min_share = 0;
-  size_t queue_limit = 512;
+  // Guards memory; what can't be done in time is refused earlier than this.
+  size_t queue_limit = 2048;
 };
 
 struct EjectionPolicy {
@@ -86,8 +87,8 @@
   RetryPolicy retry;
   BudgetPolicy budget;
   std::array<LanePolicy, kLaneCount> lanes = {
-      LanePolicy{0, 512}, LanePolicy{0.10, 512}, LanePolicy{0.05, 512},
-      LanePolicy{0.05, 512}};
+      LanePolicy{0, 1024}, LanePolicy{0.10, 2048}, LanePolicy{0.05, 2048},
+      LanePolicy{0.05, 4096}};
   EjectionPolicy ejection;
   // How long a server that joined or came back is spared.
   Millis slow_start{10000};
--- a/packages/limits/src/group_attempts.cc
+++ b/packages/limits/src/group_attempts.cc
@@ -119,6 +119,10 @@
   NoteAbandoned(step, attempt);
   ++state.counters.cancels;
   step.actions->emplace_back(CancelAttempt{id, attempt.server});
+  // Its connection is closed; the next attempt should not wait for a new one.
+  if (state.policy.connections.owner && state.policy.connections.warm > 0) {
+    step.actions->emplace_back(PrepareConnection{attempt.server});
+  }
   attempt.abandoned = true;
   ++state.servers[attempt.server].abandoned;
   // The server may still be working on it. If the slot were given away now, the
--- a/packages/limits/src/group_policy.cc
+++ b/packages/limits/src/group_policy.cc
@@ -2,6 +2,12 @@
 
 namespace hibiscuspick::limits {
 
+namespace {
+
+constexpr size_t kBaselineQueue = 8192;
+
+}  // namespace
+
 GroupPolicy DirectBaseline() {
   GroupPolicy policy;
   policy.slots_enabled = false;
@@ -9,6 +15,7 @@
   policy.choice_enabled = false;
   policy.refusal_enabled = false;
   policy.hedge.enabled = false;
+  for (auto& it : policy.lanes) it.queue_limit = kBaselineQueue;
   policy.connections.owner = false;
   policy.slow_start = Millis(0);
   return policy;
