--- a/packages/limits/include/hibiscuspick/limits/server_state.h
+++ b/packages/limits/include/hibiscuspick/limits/server_state.h
@@ -35,6 +35,7 @@
   int abandoned = 0;
   // Mean latency of whole replies, recent ones weighing more; 0 if none.
   Millis latency;
+  Millis latency_at;
   int failures_in_row = 0;
   bool ejected = false;
   Millis ejected_until;
@@ -64,9 +65,12 @@
 bool KnownToLack(const ServerState& server, IndexVersion version,
                  const GroupPolicy& policy, Millis now);
 
-// How bad a choice the server is: its load times its latency, raised while it
-// ramps up.
-double Cost(const ServerState& server, const GroupPolicy& policy, Millis now);
+// The share of its turns a server gets, from a tenth when it just joined or
+// came back to 1 when it is warm.
+double Warmth(const ServerState& server, const GroupPolicy& policy, Millis now);
+
+// How bad a choice the server is: its load times its latency.
+double Cost(const ServerState& server, Millis now);
 
 // What a server or a peer says. An older incarnation's word is passed over, so
 // that late news cannot revive a server that drains, nor drain its next life.
@@ -79,6 +83,6 @@
 void Eject(ServerState* server, const EjectionPolicy& policy, Millis now,
            Random* random);
 
-void RecordLatency(ServerState* server, Millis latency);
+void RecordLatency(ServerState* server, Millis latency, Millis now);
 
 }  // namespace hibiscuspick::limits
--- a/packages/limits/src/group_attempts.cc
+++ b/packages/limits/src/group_attempts.cc
@@ -211,7 +211,7 @@
     server.held = {report.held, now};
   }
   if (report.code == Code::kOk) {
-    RecordLatency(&server, report.latency);
+    RecordLatency(&server, report.latency, now);
     AddSample(&state->latency[LaneIndex(attempt.lane)], report.latency);
   }
   internal::NoteResult(step, attempt.server, report.code);
--- a/packages/limits/src/group_health.cc
+++ b/packages/limits/src/group_health.cc
@@ -116,7 +116,7 @@
   if (known && elapsed >= Quantile(*sketch, state.policy.hedge.quantile)) {
     AddSample(sketch, elapsed);
   }
-  if (elapsed > server.latency) RecordLatency(&server, elapsed);
+  if (elapsed > server.latency) RecordLatency(&server, elapsed, step.now);
   const bool at_deadline =
       step.now + state.policy.slot_grace >= attempt.deadline;
   if (!at_deadline) return;
--- a/packages/limits/src/group_queue.cc
+++ b/packages/limits/src/group_queue.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "group_internal.h"
@@ -43,6 +44,16 @@
   return found;
 }
 
+// The cost of a choice. A cold server is passed over at random, more seldom as
+// it warms up, so that it does get some work to warm up by.
+double CostOf(const Step& step, uint32_t index) {
+  const ServerState& server = step.state->servers[index];
+  const double warmth = Warmth(server, step.state->policy, step.now);
+  const bool passed_over = warmth < 1 && step.random->Fraction() >= warmth;
+  return passed_over ? std::numeric_limits<double>::max()
+                     : Cost(server, step.now);
+}
+
 // The better of two taken at random: always taking the best would send all
 // instances to the same server at once.
 uint32_t Choose(const Step& step, const ServerSet& set) {
@@ -50,10 +61,9 @@
   if (!step.state->policy.choice_enabled || set.size() == 1) return set[first];
   size_t second = step.random->Below(set.size() - 1);
   if (second >= first) ++second;
-  const auto cost = [&](size_t n) {
-    return Cost(step.state->servers[set[n]], step.state->policy, step.now);
-  };
-  return cost(second) < cost(first) ? set[second] : set[first];
+  const double first_cost = CostOf(step, set[first]);
+  const double second_cost = CostOf(step, set[second]);
+  return second_cost < first_cost ? set[second] : set[first];
 }
 
 void Start(const Step& step, TaskState* task, uint32_t index) {
--- a/packages/limits/src/server_state.cc
+++ b/packages/limits/src/server_state.cc
@@ -8,22 +8,25 @@
 
 // Weight of the newest latency in the mean.
 constexpr double kLatencyWeight = 0.1;
-// A cold server is first taken for ten times as slow as it measures.
+// The share of its turns that a server gets when it is quite cold.
 constexpr double kLeastWarmth = 0.1;
+// A latency not measured again is believed half as much after this span. A
+// server that was slow once would otherwise never be asked again while the
+// others have room, and stay slow in the books for ever.
+constexpr Millis kLatencyHalfLife{5000};
 // Stands for the latency of a server that has none yet, so that load decides.
 constexpr double kLeastLatency = 0.1;
 constexpr int kMaxDoublings = 16;
 
-// From 0, just started, to 1, warm.
+}  // namespace
+
 double Warmth(const ServerState& server, const GroupPolicy& policy,
               Millis now) {
   const Millis age = now - server.cold_since;
   if (age >= policy.slow_start) return 1;
-  return std::max(0.0, age.count / policy.slow_start.count);
+  return std::max(kLeastWarmth, age.count / policy.slow_start.count);
 }
 
-}  // namespace
-
 int ConnectionShare(const ServerState& server, const GroupPolicy& policy) {
   const int all = std::max(1, server.config.max_connections);
   const int reserve = std::clamp(policy.connections.reserve, 0, all - 1);
@@ -74,10 +77,10 @@
          held.versions.end();
 }
 
-double Cost(const ServerState& server, const GroupPolicy& policy, Millis now) {
-  const double latency = std::max(server.latency.count, kLeastLatency);
-  const double warmth = std::max(kLeastWarmth, Warmth(server, policy, now));
-  return (server.in_flight + 1) * latency / warmth;
+double Cost(const ServerState& server, Millis now) {
+  const double idle = (now - server.latency_at).count / kLatencyHalfLife.count;
+  const double believed = server.latency.count * std::exp2(-idle);
+  return (server.in_flight + 1) * std::max(believed, kLeastLatency);
 }
 
 bool TakeNews(ServerState* server, Incarnation incarnation, bool draining,
@@ -116,7 +119,8 @@
   ++server->ejections;
 }
 
-void RecordLatency(ServerState* server, Millis latency) {
+void RecordLatency(ServerState* server, Millis latency, Millis now) {
+  server->latency_at = now;
   if (server->latency == Millis(0)) {
     server->latency = latency;
     return;
--- /dev/null
+++ b/packages/limits/tests/lanes_test.cc
@@ -0,0 +1,172 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <ostream>
+#include <vector>
+
+#include "group_fixture.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::limits {
+namespace {
+
+// Work that keeps coming in and is answered 5 ms after its start.
+struct Stream {
+  GroupFixture* group;
+  std::map<TaskId, Lane> lane_of;
+  std::map<Lane, int> added;
+  std::map<Lane, int> answered;
+  std::vector<std::pair<Millis, AttemptId>> running;
+
+  void Add(Lane lane, Millis time_left) {
+    lane_of[group->Add(lane, time_left)] = lane;
+    ++added[lane];
+  }
+
+  // One millisecond: ends what is due, starts what may start.
+  void Step() {
+    group->Advance(Millis(1));
+    std::erase_if(running, [this](auto& it) {
+      if (it.first > group->now) return false;
+      group->Finish(it.second, Code::kOk);
+      return true;
+    });
+    for (const auto& it : group->TakeHanded()) {
+      running.emplace_back(group->now + Millis(5), it.attempt);
+    }
+    for (const auto& it : group->Take<TaskDone>()) {
+      if (it.code == Code::kOk) ++answered[lane_of[it.task]];
+    }
+  }
+};
+
+// Who overloads the group, and how many of a thousand starts each lane is sure
+// to get.
+struct OverloadRow {
+  Lane flooding;
+  Lane other;
+  int least_of_other;
+};
+
+std::ostream& operator<<(std::ostream& out, const OverloadRow& row) {
+  return out << LaneName(row.flooding) << " over " << LaneName(row.other);
+}
+
+const OverloadRow kOverloads[] = {
+    {Lane::kUrgent, Lane::kInteractive, 90},
+    {Lane::kUrgent, Lane::kOrdinary, 45},
+    {Lane::kUrgent, Lane::kBulk, 45},
+    {Lane::kOrdinary, Lane::kBulk, 45},
+};
+
+}  // namespace
+
+// An export floods the group with one and a half times what it can do, while
+// fraud checks go on coming. Each of them must be answered, and the export must
+// go on too.
+BOOST_AUTO_TEST_CASE(bulk_overload_does_not_hold_up_urgent_work) {
+  GroupFixture group(2);
+  group.Learn();
+  Stream stream{&group, {}, {}, {}, {}};
+  // Two servers of two slots do 800 attempts in a thousand milliseconds.
+  for (int i = 0; i < 1000; ++i) {
+    stream.Add(Lane::kBulk, Millis(2000));
+    if (i % 5 == 0) stream.Add(Lane::kUrgent, Millis(60));
+    stream.Step();
+  }
+  for (int i = 0; i < 60; ++i) stream.Step();
+  BOOST_TEST(stream.answered[Lane::kUrgent] == stream.added[Lane::kUrgent]);
+  BOOST_TEST(stream.answered[Lane::kBulk] > 400);
+}
+
+// A lane floods the group for a long time. Without its guaranteed share the
+// lane below would never be started, and its users would see it hang.
+BOOST_DATA_TEST_CASE(no_lane_starves, bdata::make(kOverloads), row) {
+  GroupPolicy policy;
+  policy.refusal_enabled = false;
+  GroupFixture group(2, policy);
+  Stream stream{&group, {}, {}, {}, {}};
+  for (int i = 0; i < 1250; ++i) {
+    for (int n = 0; n < 2; ++n) stream.Add(row.flooding, Millis(5000));
+    stream.Add(row.other, Millis(5000));
+    stream.Step();
+  }
+  BOOST_TEST(stream.answered[row.other] >= row.least_of_other);
+  BOOST_TEST(stream.answered[row.flooding] > 5 * stream.answered[row.other]);
+}
+
+// An export fills every slot it is given. One of each server's slots is always
+// left, so that a fraud check need not wait for an export's long attempt.
+BOOST_AUTO_TEST_CASE(bulk_never_holds_the_last_slot) {
+  GroupFixture group(2);
+  for (int i = 0; i < 10; ++i) group.Add(Lane::kBulk, Millis(5000));
+  BOOST_TEST(group.TakeHanded().size() == 2u);
+  group.Add(Lane::kUrgent, Millis(100));
+  BOOST_TEST(group.TakeHanded().size() == 1u);
+}
+
+// On servers of one slot that rule would keep an export out for ever.
+BOOST_AUTO_TEST_CASE(bulk_runs_on_single_slot_servers) {
+  GroupFixture group(2, {}, 1);
+  for (int i = 0; i < 3; ++i) group.Add(Lane::kBulk, Millis(5000));
+  BOOST_TEST(group.TakeHanded().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(the_earliest_deadline_goes_first) {
+  GroupFixture group(1, {}, 1);
+  group.Add(Lane::kUrgent, Millis(100));
+  const auto running = group.TakeHanded();
+  group.Add(Lane::kUrgent, Millis(300));
+  const TaskId sooner = group.Add(Lane::kUrgent, Millis(200));
+  group.Add(Lane::kOrdinary, Millis(50));
+  group.Finish(running[0].attempt, Code::kOk);
+  const auto next = group.Take<StartAttempt>();
+  BOOST_REQUIRE(next.size() == 1u);
+  BOOST_TEST((next[0].task == sooner));
+}
+
+// More work waits than can be done in time. The caller is refused at once
+// instead of after its deadline, and told truthfully that nothing ran.
+BOOST_AUTO_TEST_CASE(what_cannot_be_done_in_time_is_refused_at_the_door) {
+  GroupFixture group(2);
+  group.Learn();
+  for (int i = 0; i < 40; ++i) group.Add(Lane::kUrgent, Millis(1000));
+  group.Take<TaskDone>();
+  const TaskId task = group.Add(Lane::kOrdinary, Millis(20));
+  const auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].task == task));
+  BOOST_TEST((done[0].code == Code::kDeadlineUnreachable));
+  BOOST_TEST((done[0].ran == Ran::kNo));
+  BOOST_TEST(done[0].attempts == 0u);
+}
+
+// A lane's queue is full. Memory stays bounded and the caller knows at once.
+BOOST_AUTO_TEST_CASE(a_full_queue_refuses) {
+  GroupPolicy policy;
+  policy.lanes[LaneIndex(Lane::kOrdinary)].queue_limit = 3;
+  GroupFixture group(1, policy, 1);
+  for (int i = 0; i < 4; ++i) group.Add(Lane::kOrdinary, Millis(1000));
+  BOOST_TEST(group.Take<TaskDone>().empty());
+  group.Add(Lane::kOrdinary, Millis(1000));
+  const auto done = group.Take<TaskDone>();
+  BOOST_REQUIRE(done.size() == 1u);
+  BOOST_TEST((done[0].code == Code::kQueueFull));
+  BOOST_TEST((done[0].ran == Ran::kNo));
+  group.Add(Lane::kUrgent, Millis(1000));
+  BOOST_TEST(group.Take<TaskDone>().empty());
+}
+
+// The baseline: everything goes to the server at once, in order of arrival.
+BOOST_AUTO_TEST_CASE(the_baseline_counts_no_slots) {
+  GroupPolicy policy = DirectBaseline();
+  policy.connections.reserve = 4;
+  GroupFixture group(2, policy);
+  group.Add(Lane::kBulk, Millis(5000));
+  for (int i = 0; i < 9; ++i) group.Add(Lane::kUrgent, Millis(1000));
+  BOOST_TEST(group.TakeHanded().size() == 8u);
+}
+
+}  // namespace hibiscuspick::limits
