--- a/packages/records/tests/record_world.h
+++ b/packages/records/tests/record_world.h
@@ -174,8 +174,9 @@
 
   enum class Fault { kNone, kRefused, kLostAfter, kLostBefore, kLostDelayed };
 
-  // Makes the instance's call for the bucket, with a fault.
-  void Call(RecordInstance* it, const std::string& bucket, Fault fault) {
+  // Makes the instance's call for the bucket, with a fault. The name is a copy,
+  // since callers pass the key of the call that is erased here.
+  void Call(RecordInstance* it, std::string bucket, Fault fault) {
     const CommitAction action = it->calls.at(bucket);
     it->calls.erase(bucket);
     const Error refused{Code::kPlatformUnavailable, "", ""};
