Zero of a customer's limit lets none in; not_waited_for; records' window

Cause: settings read 0 as 'none' and routing as 'no limit', so that an operator who shut a customer out would have let it in without bound; the code for shards that were not waited for was not used; the window of keys was not to be set.

--- a/packages/front/src/answer_body.cc
+++ b/packages/front/src/answer_body.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <cstdint>
+#include <utility>
 
 #include "hibiscuspick/base/json.h"
 
--- a/packages/front/src/http_text.cc
+++ b/packages/front/src/http_text.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 #include "hibiscuspick/base/json.h"
 
@@ -17,9 +18,9 @@
 bool IsPlain(char c) { return c > ' ' && c <= '~'; }
 
 std::string NewRequestId() {
-  static const auto kStart = static_cast<uint64_t>(WallNow().count);
+  static const auto start = static_cast<uint64_t>(WallNow().count);
   static std::atomic<uint64_t> count{0};
-  return "hp-" + std::to_string(kStart) + "-" + std::to_string(++count);
+  return "hp-" + std::to_string(start) + "-" + std::to_string(++count);
 }
 
 }  // namespace
--- a/packages/records/include/hibiscuspick/records/bucket.h
+++ b/packages/records/include/hibiscuspick/records/bucket.h
@@ -37,7 +37,7 @@
   size_t max_key = 128;
   // Serialised size at which a bucket takes no more claims, under the
   // platform's limit of a megabyte so that outcomes still fit.
-  size_t max_bucket_bytes = 600 * 1000;
+  size_t max_bucket_bytes = 600000;
   // A longer result is not kept; a repeat then gets null.
   size_t max_result = 2000;
 };
--- a/packages/records/include/hibiscuspick/records/record_runner.h
+++ b/packages/records/include/hibiscuspick/records/record_runner.h
@@ -45,6 +45,9 @@
   // platform itself and so is back by the deadline, or when dispatch is.
   RecordAnswer Run(const RecordRequest& request, Millis arrived);
 
+  // Sets how long keys are accepted; see Rules. From any thread.
+  void SetWindow(Millis window);
+
   // Waits until all outcomes are stored or `until`; true if they are. For a
   // graceful stop.
   bool Flush(Millis until);
@@ -69,7 +72,7 @@
   void RetryLeftovers();
 
   const std::string token_prefix_;
-  const Rules rules_;
+  Rules rules_;
   const RecordPorts ports_;
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/packages/records/src/record_runner.cc
+++ b/packages/records/src/record_runner.cc
@@ -61,11 +61,13 @@
 RecordAnswer RecordRunner::Run(const RecordRequest& request, Millis arrived) {
   const Millis until = arrived + request.deadline;
   std::string token;
+  Rules rules;
   {
     const std::lock_guard lock(mutex_);
     token = token_prefix_ + "." + std::to_string(++last_id_);
+    rules = rules_;
   }
-  const auto plan = PlanClaim(rules_, request, token, ports_.wall_now());
+  const auto plan = PlanClaim(rules, request, token, ports_.wall_now());
   if (!IsOk(plan)) {
     const Error& error = ErrorOf(plan);
     return {error.code, Ran::kNo, "", Millis(0),
@@ -95,6 +97,11 @@
   return after.answer;
 }
 
+void RecordRunner::SetWindow(Millis window) {
+  const std::lock_guard lock(mutex_);
+  rules_.window = window;
+}
+
 std::shared_ptr<RecordRunner::Bucket> RecordRunner::BucketOf(
     const std::string& name) {
   auto& place = buckets_[name];
@@ -102,7 +109,7 @@
   place = std::make_shared<Bucket>();
   place->name = name;
   place->committer.rules = rules_;
-  const auto bucket = place;
+  auto bucket = place;
   for (auto it = buckets_.begin();
        it != buckets_.end() && buckets_.size() > kMaxIdleBuckets;) {
     // A bucket in use elsewhere has a second owner besides the table. One with
@@ -127,7 +134,7 @@
     Advance(bucket, GiveUp{id});
     return {};
   }
-  const Verdict verdict = bucket->decided[id];
+  Verdict verdict = bucket->decided[id];
   bucket->decided.erase(id);
   return verdict;
 }
--- a/packages/routing/include/hibiscuspick/routing/customer_limits.h
+++ b/packages/routing/include/hibiscuspick/routing/customer_limits.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 
@@ -12,12 +13,12 @@
 
 namespace hibiscuspick::routing {
 
-// From the settings tree; 0 means no limit.
+// From the settings tree; 0 of either lets none in. Without values, no limit.
 struct CustomerRules {
-  double requests_per_second = 0;
-  // Requests that may come at once after a quiet time.
-  double burst = 0;
-  uint32_t concurrency = 0;
+  double requests_per_second = std::numeric_limits<double>::infinity();
+  // Requests that may come at once after a quiet time; at least one may.
+  double burst = 1;
+  uint32_t concurrency = std::numeric_limits<uint32_t>::max();
 };
 
 struct CustomerUse {
--- a/packages/routing/include/hibiscuspick/routing/query.h
+++ b/packages/routing/include/hibiscuspick/routing/query.h
@@ -31,7 +31,7 @@
   uint32_t limit = 20;
   // From the arrival of the request.
   Millis deadline{200};
-  double min_coverage = 0.9;
+  double min_coverage = 1;
   RouteValues values;
 };
 
--- a/packages/routing/include/hibiscuspick/routing/route_values.h
+++ b/packages/routing/include/hibiscuspick/routing/route_values.h
@@ -19,7 +19,7 @@
   uint32_t limit = 20;
   uint32_t max_limit = 1000;
   // Share of the documents that makes an answer good enough, 0 to 1.
-  double min_coverage = 0.9;
+  double min_coverage = 1;
   // An instance that reports nothing of its part for this long is taken for
   // gone, and the missing shards are asked elsewhere.
   Millis owner_timeout{60};
--- a/packages/routing/src/customer_limits.cc
+++ b/packages/routing/src/customer_limits.cc
@@ -1,6 +1,7 @@
 #include "hibiscuspick/routing/customer_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hibiscuspick::routing {
 namespace {
@@ -57,11 +58,11 @@
                 const CustomerRules& rules, Millis now) {
   Admission admission{false, customer, Millis(0)};
   CustomerUse* use = UseOf(limits, &admission.entry, rules, now);
-  if (rules.concurrency > 0 && use->running >= rules.concurrency) {
+  if (use->running >= rules.concurrency || rules.requests_per_second <= 0) {
     admission.retry_after = kRetrySoon;
     return admission;
   }
-  if (rules.requests_per_second > 0) {
+  if (std::isfinite(rules.requests_per_second)) {
     Fill(use, rules, now);
     if (use->tokens < 1) {
       const double missing = 1 - use->tokens;
--- a/packages/routing/src/query_answer.cc
+++ b/packages/routing/src/query_answer.cc
@@ -11,9 +11,11 @@
 // Given with refusals that pass by themselves.
 constexpr Millis kRetryLater{1000};
 
-Code FailureOf(const ShardState& shard) {
-  // Still being asked for, or never asked for lack of time.
-  if (shard.asks > 0) return Code::kDeadlineExceeded;
+// `is_early`: the answer is given before the deadline, by choice.
+Code FailureOf(const ShardState& shard, bool is_early) {
+  if (shard.asks > 0) {
+    return is_early ? Code::kNotWaitedFor : Code::kDeadlineExceeded;
+  }
   return shard.failure == Code::kOk ? Code::kNoServer : shard.failure;
 }
 
@@ -59,8 +61,9 @@
   return n;
 }
 
-void DescribePlan(const QueryState& state, Answer* answer) {
+void DescribePlan(const QueryState& state, Millis now, Answer* answer) {
   if (!state.plan) return;
+  const bool is_early = now < state.finish_by;
   answer->snapshot_id = state.plan->snapshot_id;
   answer->version = state.plan->version;
   answer->shards_total = state.plan->shards.size();
@@ -71,8 +74,8 @@
       ShareOf(*state.plan, state.documents_covered, state.shards_answered);
   for (size_t i = 0; i < state.shards.size(); ++i) {
     if (state.shards[i].answered) continue;
-    answer->missing.push_back(
-        {state.plan->shards[i].work.shard, FailureOf(state.shards[i])});
+    answer->missing.push_back({state.plan->shards[i].work.shard,
+                               FailureOf(state.shards[i], is_early)});
   }
 }
 
@@ -103,7 +106,7 @@
 void FinishNow(StepContext* context) {
   QueryState* state = context->state;
   Answer answer;
-  DescribePlan(*state, &answer);
+  DescribePlan(*state, context->now, &answer);
   if (state->shards_answered == 0) answer.code = CommonFailure(answer.missing);
   answer.hits = MergeHits(std::move(state->hits), state->request.limit);
   Finalize(context, std::move(answer));
--- a/packages/routing/src/query_steps.h
+++ b/packages/routing/src/query_steps.h
@@ -1,6 +1,7 @@
 // What the files of the query's machine share among themselves.
 #pragma once
 
+#include <memory>
 #include <vector>
 
 #include "hibiscuspick/routing/query.h"
