--- a/packages/routing/src/query_answer.cc
+++ b/packages/routing/src/query_answer.cc
@@ -11,9 +11,10 @@
 // Given with refusals that pass by themselves.
 constexpr Millis kRetryLater{1000};
 
-Code FailureOf(const ShardState& shard, bool deadline_passed) {
+// `is_early`: the answer is given before the deadline, by choice.
+Code FailureOf(const ShardState& shard, bool is_early) {
   if (shard.asks > 0) {
-    return deadline_passed ? Code::kDeadlineExceeded : Code::kNotWaitedFor;
+    return is_early ? Code::kNotWaitedFor : Code::kDeadlineExceeded;
   }
   return shard.failure == Code::kOk ? Code::kNoServer : shard.failure;
 }
@@ -62,7 +63,7 @@
 
 void DescribePlan(const QueryState& state, Millis now, Answer* answer) {
   if (!state.plan) return;
-  const bool deadline_passed = now >= state.finish_by;
+  const bool is_early = now < state.finish_by;
   answer->snapshot_id = state.plan->snapshot_id;
   answer->version = state.plan->version;
   answer->shards_total = state.plan->shards.size();
@@ -74,7 +75,7 @@
   for (size_t i = 0; i < state.shards.size(); ++i) {
     if (state.shards[i].answered) continue;
     answer->missing.push_back({state.plan->shards[i].work.shard,
-                               FailureOf(state.shards[i], deadline_passed)});
+                               FailureOf(state.shards[i], is_early)});
   }
 }
 
