--- a/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
+++ b/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
@@ -38,6 +38,8 @@
   // Bytes of a backend server's reply.
   size_t max_reply = 4 << 20;
   Millis connect_timeout{250};
+  // For a cancel, or for opening a connection ahead.
+  Millis control_timeout{500};
   uint64_t seed = 1;
 };
 
@@ -54,13 +56,15 @@
   Millis time_left;
 };
 
+// What became of a record.
 struct RecordOutcome {
-  // kOk: `result` is the server's answer. Without an attempt a limits code
-  // with kNo. kShed and kConnectFailed also did not run; kShed reached the
-  // server and says kMaybe. Any other may have run.
   Code code = Code::kOk;
+  // kNo only if nothing was handed to a socket. A server's own word that it
+  // did not run the record (kShed, kVersionNotHeld) is still kMaybe here, for
+  // the request reached it.
   Ran ran = Ran::kMaybe;
-  // The server's JSON body; with kRecordFailed its refusal.
+  // The body of the server's answer: its result with kOk, its reason with
+  // kRecordFailed.
   std::string result;
 };
 
--- a/packages/settings/include/hibiscuspick/settings/config_store.h
+++ b/packages/settings/include/hibiscuspick/settings/config_store.h
@@ -47,6 +47,10 @@
   // Everything up to this revision is in `objects`; single newer objects may
   // be there too. 0: nothing is known, the instance isn't ready.
   Revision complete_to;
+  // Whether the platform or an instance that knew has answered at all. A new
+  // platform answers that it is empty, at revision 0: then operators may write
+  // the first objects, though there is nothing to serve yet.
+  bool known = false;
   // Counts changes of `objects` and `complete_to`, so that a holder can see
   // cheaply whether a derived value is still good. Of this process only.
   uint64_t generation = 0;
