Daemon: a limit of 0 is no limit

Cause: the settings tree says 0 is no limit, routing's rules take 0 as none in; after the merge every request was refused with customer_limit. Change: the daemon maps 0 to no rule. Conclusion: the two packages need a test that runs them joined; next.

--- a/packages/daemon/src/traffic_view.cc
+++ b/packages/daemon/src/traffic_view.cc
@@ -211,12 +211,15 @@
   settings::Scope scope = ScopeOf(view);
   scope.customer = customer;
   const auto values = settings::ResolveAll(view.configuration->settings, scope);
+  // 0 stands for no limit in the settings.
   routing::CustomerRules rules;
-  rules.requests_per_second =
-      static_cast<double>(CountOf(values, Key::kCustomerRateLimit));
-  rules.burst = rules.requests_per_second;
-  rules.concurrency =
-      static_cast<uint32_t>(CountOf(values, Key::kCustomerConcurrencyLimit));
+  const auto rate = CountOf(values, Key::kCustomerRateLimit);
+  if (rate > 0) {
+    rules.requests_per_second = static_cast<double>(rate);
+    rules.burst = rules.requests_per_second;
+  }
+  const auto concurrency = CountOf(values, Key::kCustomerConcurrencyLimit);
+  if (concurrency > 0) rules.concurrency = static_cast<uint32_t>(concurrency);
   return rules;
 }
 
