--- a/packages/limits/src/group_attempts.cc
+++ b/packages/limits/src/group_attempts.cc
@@ -116,9 +116,13 @@
     ReleaseSlot(step, id);
     return;
   }
-  NoteAbandoned(step, attempt, step.now >= attempt.deadline);
+  NoteAbandoned(step, attempt);
   ++state.counters.cancels;
   step.actions->emplace_back(CancelAttempt{id, attempt.server});
+  // Its connection is closed; the next attempt should not wait for a new one.
+  if (state.policy.connections.owner && state.policy.connections.warm > 0) {
+    step.actions->emplace_back(PrepareConnection{attempt.server});
+  }
   attempt.abandoned = true;
   ++state.servers[attempt.server].abandoned;
   // The server may still be working on it. If the slot were given away now, the
@@ -207,7 +211,7 @@
     server.held = {report.held, now};
   }
   if (report.code == Code::kOk) {
-    RecordLatency(&server, report.latency);
+    RecordLatency(&server, report.latency, now);
     AddSample(&state->latency[LaneIndex(attempt.lane)], report.latency);
   }
   internal::NoteResult(step, attempt.server, report.code);
@@ -228,7 +232,8 @@
   // Nothing was sent, so that this attempt did not run.
   if (report.code == Code::kConnectFailed) --task.handed;
   for (const auto& version : report.held) task.held.push_back(version);
-  if (now >= attempt.deadline) {
+  // The shell's own timeout may end a little before the instant.
+  if (now >= attempt.deadline || report.code == Code::kDeadlineExceeded) {
     internal::FinishTask(step, attempt.task, Code::kDeadlineExceeded, {});
   } else if (report.code == Code::kOk) {
     if (attempt.kind == AttemptKind::kHedge) ++state->counters.hedges_won;
--- a/packages/limits/src/group_health.cc
+++ b/packages/limits/src/group_health.cc
@@ -105,8 +105,7 @@
   }
 }
 
-void NoteAbandoned(const Step& step, const AttemptState& attempt,
-                   bool at_deadline) {
+void NoteAbandoned(const Step& step, const AttemptState& attempt) {
   GroupState& state = *step.state;
   ServerState& server = state.servers[attempt.server];
   const Millis elapsed = step.now - attempt.handed_at;
@@ -117,7 +116,9 @@
   if (known && elapsed >= Quantile(*sketch, state.policy.hedge.quantile)) {
     AddSample(sketch, elapsed);
   }
-  if (elapsed > server.latency) RecordLatency(&server, elapsed);
+  if (elapsed > server.latency) RecordLatency(&server, elapsed, step.now);
+  const bool at_deadline =
+      step.now + state.policy.slot_grace >= attempt.deadline;
   if (!at_deadline) return;
   if (known && elapsed < Quantile(*sketch, kSlowQuantile)) return;
   NoteFailure(step, attempt.server, Code::kDeadlineExceeded);
--- a/packages/records/tests/record_world.h
+++ b/packages/records/tests/record_world.h
@@ -71,9 +71,10 @@
 
   explicit RecordWorld(uint64_t seed) : random(seed) {
     rules.window = Millis(3000);
-    rules.slot = Millis(1000);
-    rules.buckets_per_slot = 1;
-    rules.undated_buckets = 2;
+    rules.layout.slot = Millis(1000);
+    rules.layout.ring_slots = 6;
+    rules.layout.buckets_per_slot = 1;
+    rules.layout.undated_buckets = 2;
     rules.max_ahead = Millis(500);
   }
 
@@ -173,8 +174,9 @@
 
   enum class Fault { kNone, kRefused, kLostAfter, kLostBefore, kLostDelayed };
 
-  // Makes the instance's call for the bucket, with a fault.
-  void Call(RecordInstance* it, const std::string& bucket, Fault fault) {
+  // Makes the instance's call for the bucket, with a fault. The name is a copy,
+  // since callers pass the key of the call that is erased here.
+  void Call(RecordInstance* it, std::string bucket, Fault fault) {
     const CommitAction action = it->calls.at(bucket);
     it->calls.erase(bucket);
     const Error refused{Code::kPlatformUnavailable, "", ""};
--- a/packages/settings/tests/config_store_test.cc
+++ b/packages/settings/tests/config_store_test.cc
@@ -156,3 +156,17 @@
   BOOST_TEST(store.complete_to.value == 5);
   BOOST_TEST(store.generation > generation);
 }
+
+// All instances start on a platform that holds nothing yet. Were its empty
+// answer taken for none, no operator could ever write the first object.
+BOOST_AUTO_TEST_CASE(an_empty_platform_is_an_answer) {
+  ConfigStore store;
+  ApplyDelta(&store, {{}, {}, {}});
+  BOOST_TEST(!store.known);
+  BOOST_TEST(
+      ApplyFromPlatform(&store, {{}, {}, {}}, Revision()).watermark_raised);
+  BOOST_TEST(store.known);
+  BOOST_TEST(
+      !ApplyFromPlatform(&store, {{}, {}, {}}, Revision()).watermark_raised);
+  BOOST_TEST(store.complete_to.value == 0);
+}
