Server news: a drain of an unknown life is not ended by a reply

An operator's drain while the platform is down carries no incarnation. The next reply of the very life to be drained tells one, looked like a new life and put the server back to work. Such a drain now stands above every incarnation of its round, and only an operator takes it back.

--- a/packages/inner/inner.thrift
+++ b/packages/inner/inner.thrift
@@ -89,7 +89,7 @@
 }
 
 // What is known of a backend server's willingness to take work. The higher
-// (incarnation, round, draining) wins.
+// (round, incarnation, draining) wins; a drain without incarnation is above all.
 struct ServerNews {
   1: string server
   2: i64 incarnation
--- a/packages/membership/include/hibiscuspick/membership/server_news.h
+++ b/packages/membership/include/hibiscuspick/membership/server_news.h
@@ -1,6 +1,12 @@
 // What the fleet knows of backend servers that are leaving. The first sign
 // from any source is enough, and old news cannot revive a server: of two
-// reports the higher (incarnation, round, draining) wins.
+// reports the higher (round, incarnation, draining) wins.
+//
+// A drain whose source does not know the incarnation, such as an operator's
+// word while the platform is down, stands above every incarnation of its
+// round. Otherwise the next reply of the very life that is to be drained, which
+// does tell its incarnation, would look like a new life and end the drain. Only
+// an operator takes such a drain back.
 #pragma once
 
 #include <array>
@@ -24,7 +30,7 @@
   bool operator==(const ServerNews&) const = default;
 };
 
-// Whether `a` replaces `b`; draining beats not draining in the same life.
+// Whether `a` replaces `b`.
 bool Replaces(const ServerNews& a, const ServerNews& b);
 
 using ServerNewsTable = std::map<BackendServerId, ServerNews>;
--- a/packages/membership/src/server_news.cc
+++ b/packages/membership/src/server_news.cc
@@ -1,14 +1,24 @@
 #include "hibiscuspick/membership/server_news.h"
 
+#include <limits>
 #include <tuple>
 
 #include "hibiscuspick/base/hash.h"
 
 namespace hibiscuspick::membership {
+namespace {
+
+std::tuple<uint64_t, uint64_t, bool> RankOf(const ServerNews& news) {
+  const bool any_life = news.draining && news.incarnation.value == 0;
+  const uint64_t life =
+      any_life ? std::numeric_limits<uint64_t>::max() : news.incarnation.value;
+  return {news.round, life, news.draining};
+}
+
+}  // namespace
 
 bool Replaces(const ServerNews& a, const ServerNews& b) {
-  return std::tie(a.incarnation, a.round, a.draining) >
-         std::tie(b.incarnation, b.round, b.draining);
+  return RankOf(a) > RankOf(b);
 }
 
 bool MergeServer(ServerNewsTable* table, const ServerNews& news) {
