--- a/benchmarks/policy/main.cc
+++ b/benchmarks/policy/main.cc
@@ -24,6 +24,7 @@
   const char* name;
   double straggler_share;
   Trouble trouble;
+  double bulk_work = 1;
 };
 
 constexpr Scenario kScenarios[] = {
@@ -31,6 +32,7 @@
     {"5 % stragglers", 0.05, Trouble::kNone},
     {"2 of 40 replicas lost", 0.005, Trouble::kReplicaLost},
     {"half of the servers join cold", 0.005, Trouble::kHalfCold},
+    {"bulk attempts ten times as long", 0.005, Trouble::kNone, 10},
 };
 
 constexpr double kLoads[] = {0.6, 0.8, 0.95, 1.5};
@@ -49,11 +51,17 @@
   no_hedge.hedge.enabled = false;
   limits::GroupPolicy idle_hedge;
   idle_hedge.hedge.first_in_line = false;
+  limits::GroupPolicy group_bulk;
+  group_bulk.bulk_rule = limits::BulkRule::kOneOfServers;
+  limits::GroupPolicy any_bulk;
+  any_bulk.bulk_rule = limits::BulkRule::kNone;
   return {{"direct (baseline)", direct, false},
           {"direct, 1 in flight, lanes", direct_lanes, false},
           {"owners, no hedges", no_hedge, true},
           {"owners, hedges to free slots", idle_hedge, true},
-          {"owners, hedges first in line", {}, true}};
+          {"owners, hedges first in line", {}, true},
+          {"… bulk leaves one of group", group_bulk, true},
+          {"… bulk may hold all", any_bulk, true}};
 }
 
 double PercentileOf(std::vector<double>* values, double part) {
@@ -112,6 +120,7 @@
   parameters.load = load;
   parameters.server.straggler_share = scenario.straggler_share;
   parameters.trouble = scenario.trouble;
+  parameters.bulk_work = scenario.bulk_work;
   parameters.seed = seed;
   parameters.span = Millis(span);
   return parameters;
--- a/benchmarks/policy/server_model.cc
+++ b/benchmarks/policy/server_model.cc
@@ -7,12 +7,13 @@
 
 namespace hibiscuspick::benchmarks {
 
-void ServerModel::Arrive(uint64_t id, Millis deadline, OnEnd on_end) {
+void ServerModel::Arrive(uint64_t id, double work, Millis deadline,
+                         OnEnd on_end) {
   if (lost_) {
     on_end(Ending::kLost);
     return;
   }
-  queue_.push_back({id, deadline, std::move(on_end)});
+  queue_.push_back({id, work, deadline, std::move(on_end)});
   StartNext();
 }
 
@@ -35,8 +36,9 @@
   }
 }
 
-Millis ServerModel::ServiceTime() {
-  double time = -std::log(1 - random_.Fraction()) * parameters_.mean.count;
+Millis ServerModel::ServiceTime(double work) {
+  double time =
+      -work * std::log(1 - random_.Fraction()) * parameters_.mean.count;
   if (random_.Fraction() < parameters_.straggler_share) {
     time *= parameters_.straggler_factor;
   }
@@ -56,7 +58,7 @@
       continue;
     }
     const uint64_t id = request.id;
-    const Millis end = events_->now() + ServiceTime();
+    const Millis end = events_->now() + ServiceTime(request.work);
     const bool in_time = end <= request.deadline;
     const Millis stop = Min(end, request.deadline);
     running_.emplace(id, std::move(request));
--- a/benchmarks/policy/server_model.h
+++ b/benchmarks/policy/server_model.h
@@ -35,7 +35,8 @@
       : events_(events), parameters_(parameters), random_(seed) {}
 
   // A request came in. `on_end` is called once, unless it is cancelled.
-  void Arrive(uint64_t id, Millis deadline, OnEnd on_end);
+  // `work` is its size in units of the mean.
+  void Arrive(uint64_t id, double work, Millis deadline, OnEnd on_end);
   void Cancel(uint64_t id);
 
   // From now on all requests are lost, the running ones too.
@@ -45,11 +46,12 @@
  private:
   struct Request {
     uint64_t id = 0;
+    double work = 1;
     Millis deadline;
     OnEnd on_end;
   };
 
-  Millis ServiceTime();
+  Millis ServiceTime(double work);
   void StartNext();
   void End(uint64_t id, Ending ending);
 
--- a/benchmarks/policy/simulation.cc
+++ b/benchmarks/policy/simulation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -91,7 +92,9 @@
   const ServerParameters& server = parameters.server;
   const double slower =
       1 + server.straggler_share * (server.straggler_factor - 1);
-  const double per_shard_ms = server.mean.count * slower;
+  const double bulk_share = kMix[std::size(kMix) - 1].share;
+  const double work = 1 + bulk_share * (parameters.bulk_work - 1);
+  const double per_shard_ms = server.mean.count * slower * work;
   queries_per_ms_ = parameters.load * kReplicas * server.slots / per_shard_ms;
   for (int i = 0; i < kServices * kReplicas; ++i) {
     servers_.push_back(std::make_unique<ServerModel>(
@@ -235,9 +238,11 @@
   report.attempt = start.attempt;
   // Holds the time of sending until the reply is there.
   report.latency = events_.now();
-  events_.In(connect + kToServer, [this, engine, start, report] {
+  const Lane lane = engine->state.attempts.at(start.attempt).lane;
+  const double work = lane == Lane::kBulk ? parameters_.bulk_work : 1;
+  events_.In(connect + kToServer, [this, engine, start, report, work] {
     Server(*engine, start.server)
-        .Arrive(start.attempt.value, start.deadline,
+        .Arrive(start.attempt.value, work, start.deadline,
                 [this, engine, report, start](Ending ending) {
                   events_.In(kToServer, [this, engine, report, start, ending] {
                     if (ending == Ending::kAnswered) {
--- a/benchmarks/policy/simulation.h
+++ b/benchmarks/policy/simulation.h
@@ -24,6 +24,8 @@
   double load = 0.6;
   ServerParameters server;
   Trouble trouble = Trouble::kNone;
+  // How much longer an attempt in the bulk lane takes.
+  double bulk_work = 1;
   uint64_t seed = 1;
   // Measured, after a warm-up of a fifth as long.
   Millis span{10000};
--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -4,6 +4,7 @@
 // changes the state and appends the actions to be carried out.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <set>
 #include <unordered_map>
@@ -146,6 +147,13 @@
   bool abandoned = false;
 };
 
+// How often a lane's attempts were started of late: a count that fades over
+// about a second.
+struct StartRate {
+  double starts = 0;
+  Millis at;
+};
+
 enum class TimerKind : uint8_t { kTask, kHedge, kSlot, kServer };
 
 struct Timer {
@@ -188,6 +196,7 @@
   uint64_t next_sequence = 0;
   // By lane, since an export's query takes other times than a fraud check's.
   std::array<LatencySketch, kLaneCount> latency;
+  std::array<StartRate, kLaneCount> start_rates;
   AttemptBudget budget;
   std::set<Timer> timers;
   GroupCounters counters;
--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -72,12 +72,18 @@
   Millis max_span{30000};
 };
 
+// Where bulk attempts must leave one slot to the lanes above: nowhere, on one
+// of the servers that the shard may go to, or on every server.
+enum class BulkRule { kNone, kOneOfServers, kEachServer };
+
 struct GroupPolicy {
   // Counts each server's slots exactly and never starts more. Off: attempts
   // are bounded by connections alone and wait at the server.
   bool slots_enabled = true;
   // Lanes with earliest deadline first. Off: first come, first served.
   bool lanes_enabled = true;
+  // Needs slots and lanes.
+  BulkRule bulk_rule = BulkRule::kEachServer;
   // The better of two servers by load and latency. Off: any at random.
   bool choice_enabled = true;
   // Refuses at the door what cannot be done by its deadline.
--- a/packages/limits/src/group.cc
+++ b/packages/limits/src/group.cc
@@ -84,6 +84,22 @@
   step.actions->emplace_back(done);
 }
 
+// Starts below which a lane's rate says nothing.
+constexpr double kEnoughStarts = 20;
+
+// How long the tasks ahead in the task's own lane will take at the rate at
+// which the lane was served of late. It knows what the lanes above leave.
+Millis WaitByRate(const Step& step, const TaskState& task) {
+  const GroupState& state = *step.state;
+  const Lane lane = state.policy.lanes_enabled ? task.work.lane : Lane::kUrgent;
+  const size_t n = LaneIndex(lane);
+  const double rate = internal::StartsPerMilli(state.start_rates[n], step.now);
+  if (state.start_rates[n].starts < kEnoughStarts || rate <= 0) {
+    return Millis(0);
+  }
+  return Millis(static_cast<double>(state.queues.lanes[n].size) / rate);
+}
+
 // When a task that waits for its turn at these servers would be answered, by
 // the work ahead of it and the latencies of late.
 Millis ExpectedEnd(const Step& step, const TaskState& task) {
@@ -103,7 +119,7 @@
       CountAhead(state.queues, lanes ? task.work.lane : Lane::kUrgent,
                  lanes ? task.work.deadline : step.now);
   const double turns = static_cast<double>(ahead + 1) / capacity;
-  return step.now + typical * turns + typical;
+  return step.now + Max(typical * turns, WaitByRate(step, task)) + typical;
 }
 
 // The code to refuse the task with, kOk to take it.
--- a/packages/limits/src/group_internal.h
+++ b/packages/limits/src/group_internal.h
@@ -20,6 +20,10 @@
 // few samples; 0 if none has enough.
 Millis LaneLatency(const GroupState& state, Lane lane, double quantile);
 
+// Starts of a lane in a millisecond, over the last second or so.
+void CountStartOf(StartRate* rate, Millis now);
+double StartsPerMilli(const StartRate& rate, Millis now);
+
 // Waiting tasks (group_queue.cc).
 
 // Candidates the task's next attempt may go to. A hedge goes to servers not
--- a/packages/limits/src/group_queue.cc
+++ b/packages/limits/src/group_queue.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -8,8 +9,18 @@
 namespace {
 
 // A waiting attempt whose time left is under this quantile of the lane's
-// latency would nearly always end too late; its slot serves another better.
-constexpr double kHopelessQuantile = 0.05;
+// latency would probably end too late. Where others wait, its slot serves them
+// better: earliest deadline first would otherwise spend an overloaded lane's
+// slots on just those that can't be done any more. Where none waits, trying
+// costs nobody anything.
+constexpr double kHopelessBusy = 0.75;
+constexpr double kHopelessIdle = 0.05;
+
+constexpr Millis kRateSpan{1000};
+
+double Faded(const StartRate& rate, Millis now) {
+  return rate.starts * std::exp((rate.at - now).count / kRateSpan.count);
+}
 
 bool Contains(const ServerSet& set, uint32_t server) {
   return std::find(set.begin(), set.end(), server) != set.end();
@@ -32,7 +43,27 @@
   });
 }
 
+// Whether bulk holds all the slots of the set but one. As in HasRoom, a set of
+// one slot is the exception.
+bool BulkHasItsShare(const Step& step, const ServerSet& set) {
+  int capacity = 0;
+  int bulk = 0;
+  for (const uint32_t it : set) {
+    const ServerState& server = step.state->servers[it];
+    if (!TakesNewWork(server, step.now) || server.ejected) continue;
+    capacity += Capacity(server, step.state->policy, step.now);
+    bulk += server.bulk_in_flight;
+  }
+  return capacity > 1 && bulk >= capacity - 1;
+}
+
 ServerSet WithRoom(const Step& step, Lane lane, const ServerSet& set) {
+  const GroupPolicy& policy = step.state->policy;
+  if (lane == Lane::kBulk && policy.bulk_rule == BulkRule::kOneOfServers &&
+      policy.lanes_enabled && policy.slots_enabled &&
+      BulkHasItsShare(step, set)) {
+    return {};
+  }
   const bool desperate = IsDesperate(step, set);
   ServerSet found;
   for (const uint32_t it : set) {
@@ -81,6 +112,7 @@
   task->paid = false;
   ++server.in_flight;
   if (task->work.lane == Lane::kBulk) ++server.bulk_in_flight;
+  CountStartOf(&state.start_rates[LaneIndex(task->place.lane)], step.now);
   task->running.push_back(id);
   task->tried.push_back(index);
   Decision decision = MakeDecision(step, DecisionKind::kStart, *task);
@@ -93,8 +125,9 @@
 
 bool IsHopeless(const Step& step, const TaskState& task) {
   if (!step.state->policy.refusal_enabled) return false;
-  const Millis least =
-      LaneLatency(*step.state, task.work.lane, kHopelessQuantile);
+  const LaneQueue& queue = step.state->queues.lanes[LaneIndex(task.place.lane)];
+  const double quantile = queue.size > 0 ? kHopelessBusy : kHopelessIdle;
+  const Millis least = LaneLatency(*step.state, task.work.lane, quantile);
   return step.now + least > task.work.deadline;
 }
 
@@ -230,6 +263,15 @@
   *paid = false;
 }
 
+void CountStartOf(StartRate* rate, Millis now) {
+  rate->starts = Faded(*rate, now) + 1;
+  rate->at = now;
+}
+
+double StartsPerMilli(const StartRate& rate, Millis now) {
+  return Faded(rate, now) / kRateSpan.count;
+}
+
 Millis LaneLatency(const GroupState& state, Lane lane, double quantile) {
   const LatencySketch* best = &state.latency[LaneIndex(lane)];
   for (const auto& it : state.latency) {
--- a/packages/limits/src/server_state.cc
+++ b/packages/limits/src/server_state.cc
@@ -57,7 +57,8 @@
   }
   const int capacity = Capacity(server, policy, now);
   if (server.in_flight >= capacity) return false;
-  if (lane != Lane::kBulk || !policy.lanes_enabled || !policy.slots_enabled) {
+  if (lane != Lane::kBulk || policy.bulk_rule != BulkRule::kEachServer ||
+      !policy.lanes_enabled || !policy.slots_enabled) {
     return true;
   }
   // An export's attempts are long. If they held all slots, an urgent task that
