--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -28,7 +28,7 @@
   Lane lowest_lane = Lane::kInteractive;
   // A second attempt starts after this quantile of the lane's recent latency,
   // but never before `min`.
-  double quantile = 0.95;
+  double quantile = 0.9;
   Millis min{2};
   // Used while too few latencies are known.
   Millis cold{50};
