--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 #include "hibiscuspick/http/connection_threads.h"
@@ -17,11 +19,28 @@
 // its first packets and wait a second for the retry.
 constexpr int kBacklog = 1024;
 
-// How often an idle connection looks whether the server is stopping.
-constexpr Millis kIdleSlice{50};
+// How long an idle connection is still read once the server is stopping, for a
+// request that its caller sent before it could know.
+constexpr Millis kStoppingGrace{50};
+
+// Bytes of a request's head. The library bounds a line but not their number,
+// so that endless headers would fill the memory.
+constexpr size_t kMaxHead = 64 << 10;
+
+// What is still read of a connection that is to be closed.
+constexpr size_t kMaxDrain = 4 << 20;
+constexpr Millis kDrainTimeout{500};
 
 thread_local socket_t current_socket = INVALID_SOCKET;
 
+// Whether the answer just written says that the request could not be read to
+// its end, so that what follows on the connection is not a new request.
+thread_local bool lost_framing = false;
+
+bool IsFramingLost(int status) {
+  return status == 400 || status == 411 || status == 413 || status == 414;
+}
+
 // Waits for the events until the instant; false if it passed first.
 bool WaitFor(socket_t sock, int16_t events, Millis until) {
   for (;;) {
@@ -34,6 +53,19 @@
   }
 }
 
+// Waits for bytes on an idle connection. Waiting on `stopped` too, rather than
+// looking every so often, costs nothing while a thousand connections idle.
+bool WaitForRequest(socket_t sock, int stopped, Millis until) {
+  const Millis left = until - SteadyNow();
+  if (left <= Millis(0)) return false;
+  pollfd entries[] = {{sock, POLLIN, 0}, {stopped, POLLIN, 0}};
+  const int n = poll(entries, 2, static_cast<int>(left.count) + 1);
+  if (n < 0) return errno == EINTR && WaitForRequest(sock, stopped, until);
+  if (entries[0].revents != 0) return true;
+  if (entries[1].revents == 0) return false;
+  return WaitFor(sock, POLLIN, SteadyNow() + kStoppingGrace);
+}
+
 void ReadEndpoint(socket_t sock, bool remote, std::string* ip, int* port) {
   sockaddr_in address{};
   socklen_t size = sizeof(address);
@@ -58,6 +90,9 @@
     until_ = until;
     span_ = span;
   }
+  // Reading stops after this many bytes more. The library bounds only bodies
+  // that state their length; a chunked one could grow without end.
+  void SetBudget(size_t bytes) { budget_ = bytes; }
   bool HasBuffered() const { return begin_ < end_; }
 
   bool is_readable() const override {
@@ -68,7 +103,9 @@
   }
   ssize_t read(char* out, size_t size) override {
     if (!HasBuffered() && !Fill()) return filled_;
-    const size_t n = std::min(size, end_ - begin_);
+    const size_t n = std::min({size, end_ - begin_, budget_});
+    if (n == 0) return -1;
+    budget_ -= n;
     std::copy_n(buf_ + begin_, n, out);
     begin_ += n;
     return static_cast<ssize_t>(n);
@@ -101,12 +138,27 @@
   const socket_t sock_;
   Millis until_;
   Millis span_;
+  size_t budget_ = 0;
   char buf_[8192];
   size_t begin_ = 0;
   size_t end_ = 0;
   ssize_t filled_ = 0;
 };
 
+// Reads on for a while before closing: closing with unread bytes resets the
+// connection, and the caller would lose the answer that says what was wrong.
+void Drain(socket_t sock) {
+  ::shutdown(sock, SHUT_WR);
+  const Millis until = SteadyNow() + kDrainTimeout;
+  char buf[8192];
+  size_t total = 0;
+  while (total < kMaxDrain && WaitFor(sock, POLLIN, until)) {
+    const ssize_t n = ::recv(sock, buf, sizeof(buf), 0);
+    if (n <= 0) return;
+    total += static_cast<size_t>(n);
+  }
+}
+
 }  // namespace
 
 bool CallerGone() {
@@ -116,7 +168,23 @@
   return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-Server::Server(ServerLimits limits) : limits_(limits) {
+bool SendRaw(std::string_view bytes) {
+  if (current_socket == INVALID_SOCKET) return false;
+  while (!bytes.empty()) {
+    const ssize_t n =
+        ::send(current_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n <= 0) return false;
+    bytes.remove_prefix(static_cast<size_t>(n));
+  }
+  return true;
+}
+
+void DropCaller() {
+  if (current_socket != INVALID_SOCKET) ::shutdown(current_socket, SHUT_RDWR);
+}
+
+Server::Server(ServerLimits limits)
+    : limits_(limits), stopped_(::eventfd(0, EFD_CLOEXEC)) {
   set_tcp_nodelay(true);
   set_payload_max_length(limits.max_body);
   set_socket_options([this](socket_t sock) {
@@ -124,12 +192,25 @@
     setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     listener_ = sock;
   });
+  // The library would cut a JSON answer to the byte range that a request asks
+  // for, and the caller would take the rest for missing.
+  set_pre_routing_handler([](const httplib::Request& request, auto&) {
+    const_cast<httplib::Request&>(request).ranges.clear();
+    return HandlerResponse::Unhandled;
+  });
+  set_post_routing_handler([](const auto&, auto& response) {
+    lost_framing = IsFramingLost(response.status);
+    if (lost_framing) response.set_header("Connection", "close");
+  });
   new_task_queue = [n = limits.max_connections] {
     return new ConnectionThreads(n);
   };
 }
 
-Server::~Server() { Stop(); }
+Server::~Server() {
+  Stop();
+  ::close(stopped_);
+}
 
 Result<Done> Server::Start(const std::string& ip, uint16_t port) {
   int bound = port;
@@ -153,34 +234,43 @@
 void Server::Stop() {
   if (!thread_.joinable()) return;
   closing_ = true;
-  stopping_ = true;
+  const uint64_t one = 1;
+  // Never read, so that it stays readable for every connection.
+  [[maybe_unused]] const ssize_t n = ::write(stopped_, &one, sizeof(one));
   stop();
   thread_.join();
 }
 
 bool Server::process_and_close_socket(socket_t sock) {
+  if (!hooks_.opened || hooks_.opened(sock)) ServeConnection(sock);
+  if (hooks_.closed) hooks_.closed(sock);
+  ::shutdown(sock, SHUT_RDWR);
+  ::close(sock);
+  return true;
+}
+
+void Server::ServeConnection(socket_t sock) {
   DeadlineStream stream(sock);
-  Millis idle_until = SteadyNow() + limits_.idle_timeout;
   bool open = true;
-  while (open && SteadyNow() < idle_until) {
-    const Millis slice = Min(idle_until, SteadyNow() + kIdleSlice);
-    if (!stream.HasBuffered() && !WaitFor(sock, POLLIN, slice)) {
-      if (stopping_) break;
-      continue;
+  while (open) {
+    const Millis idle_until = SteadyNow() + limits_.idle_timeout;
+    if (!stream.HasBuffered() && !WaitForRequest(sock, stopped_, idle_until)) {
+      break;
     }
     stream.SetDeadline(SteadyNow() + limits_.request_timeout,
                        limits_.request_timeout);
+    stream.SetBudget(kMaxHead + 2 * limits_.max_body);
     ++busy_;
     current_socket = sock;
+    lost_framing = false;
     bool closed = false;
-    open = process_request(stream, closing_, closed, nullptr) && !closed;
+    open = process_request(stream, closing_, closed, nullptr) && !closed &&
+           !lost_framing;
     current_socket = INVALID_SOCKET;
     --busy_;
-    idle_until = SteadyNow() + limits_.idle_timeout;
   }
-  ::shutdown(sock, SHUT_RDWR);
-  ::close(sock);
-  return true;
+  if (lost_framing) Drain(sock);
+  lost_framing = false;
 }
 
 }  // namespace hibiscuspick::http
