--- a/packages/dispatch/include/hibiscuspick/dispatch/executor_metrics.h
+++ b/packages/dispatch/include/hibiscuspick/dispatch/executor_metrics.h
@@ -6,11 +6,11 @@
 #include <boost/histogram/make_histogram.hpp>
 #include <cstdint>
 #include <map>
-#include <tuple>
 #include <vector>
 
 #include "hibiscuspick/base/code.h"
 #include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/limits/group.h"
 
 namespace hibiscuspick::dispatch {
@@ -24,13 +24,31 @@
 }
 using LatencyHistogram = decltype(MakeLatencyHistogram());
 
+// What the group knows of one server.
+struct ServerMetrics {
+  BackendServerId server;
+  int slots = 0;
+  int in_flight = 0;
+  // Of those in flight, attempts that were given up and whose end is not seen.
+  int abandoned = 0;
+  bool ejected = false;
+  bool draining = false;
+  // Mean of whole replies, recent ones weighing more; 0 if none.
+  Millis latency;
+  // As the server last said with a 409; empty if it never did.
+  limits::HeldVersions held;
+};
+
 struct GroupMetrics {
   ServiceId service;
   limits::GroupCounters counters;
   int slots_in_use = 0;
   size_t waiting = 0;
+  // Servers in that state.
   int ejected = 0;
   int draining = 0;
+  // Those that are part of the service now.
+  std::vector<ServerMetrics> servers;
   // By code, attempts that ended with it.
   std::map<Code, uint64_t> attempts_by_code;
   LatencyHistogram latency = MakeLatencyHistogram();
--- a/packages/dispatch/src/executor_group.cc
+++ b/packages/dispatch/src/executor_group.cc
@@ -20,6 +20,19 @@
   return finished;
 }
 
+ServerMetrics ServerMetricsOf(const limits::ServerState& server) {
+  ServerMetrics metrics;
+  metrics.server = server.config.id;
+  metrics.slots = server.config.slots;
+  metrics.in_flight = server.in_flight;
+  metrics.abandoned = server.abandoned;
+  metrics.ejected = server.ejected;
+  metrics.draining = !limits::TakesNewWork(server, SteadyNow());
+  metrics.latency = server.latency;
+  metrics.held = server.held;
+  return metrics;
+}
+
 }  // namespace
 
 ExecutorGroup::ExecutorGroup(ServiceId service, uint64_t number, uint64_t seed,
@@ -216,8 +229,10 @@
   metrics.slots_in_use = limits::SlotsInUse(state_);
   metrics.waiting = limits::Waiting(state_.queues);
   for (const auto& it : state_.servers) {
+    if (it.removed) continue;
+    metrics.servers.push_back(ServerMetricsOf(it));
     if (it.ejected) ++metrics.ejected;
-    if (it.draining || it.drained) ++metrics.draining;
+    if (metrics.servers.back().draining) ++metrics.draining;
   }
   metrics.attempts_by_code = attempts_by_code_;
   metrics.latency = latency_;
