Tests that two survivors of a mutation trial ask for

Cause: a trial of 16 small faults put into records and routing left two unnoticed: a verdict told before the write it rests on, and a shard asked for a third time while the second ask runs. Change: a test of each, and a comment that gave the wrong reason.

--- a/packages/records/src/committer.cc
+++ b/packages/records/src/committer.cc
@@ -35,10 +35,12 @@
   bool wants_read = false;
 };
 
-// Applies all waiting changes to a copy of the bucket. A verdict that rests on
-// what another change of this round altered must wait for the write: told
-// before, a claim could be dispatched whose write then fails, and the record
-// would run a second time under another claim.
+// Applies all waiting changes to a copy of the bucket. What alters it is
+// decided by the write: told before, a claim would be dispatched whose write
+// then fails, and the record would run again under another claim. A verdict
+// that rests on what another change of this round altered waits too: otherwise
+// a caller would be told that its key is in use by a claim that never came into
+// force.
 Round MakeRound(const Committer& it) {
   Round round;
   round.value = it.value;
--- a/packages/records/tests/record_faults_test.cc
+++ b/packages/records/tests/record_faults_test.cc
@@ -194,6 +194,24 @@
   BOOST_TEST(IsIdle(it->committers.begin()->second));
 }
 
+// Two requests with one key and different bodies wait for the same write, and
+// the platform goes away. Neither is told that the key is in use, since it is
+// not.
+BOOST_AUTO_TEST_CASE(a_claim_that_is_not_written_yet_takes_no_key) {
+  RecordWorld world(1);
+  RecordInstance* it = &world.instances[0];
+  world.Start(it, "k1", "y");
+  world.Start(it, "k1", "x");
+  const std::string bucket = it->running[0].plan.bucket;
+  world.Call(it, bucket, Fault::kNone);
+  BOOST_TEST(!it->running[1].answer.has_value());
+  while (!it->calls.empty()) world.Call(it, bucket, Fault::kRefused);
+  for (const auto& record : it->running) {
+    BOOST_TEST_REQUIRE(record.answer.has_value());
+    BOOST_TEST((record.answer->code == Code::kPlatformUnavailable));
+  }
+}
+
 // The reply to a claim is lost and the caller's deadline passes before anyone
 // knows. The claim is given back, so that the caller's next try with the same
 // key can run.
--- a/packages/routing/tests/query_test.cc
+++ b/packages/routing/tests/query_test.cc
@@ -180,6 +180,19 @@
   BOOST_TEST((driver.answer->missing[0].code == Code::kConnectFailed));
 }
 
+// A silent owner was passed over, and then says that it can't serve. The
+// instance asked instead is still at work, so nobody else is asked.
+BOOST_AUTO_TEST_CASE(a_shard_that_is_being_asked_for_is_not_asked_again) {
+  QueryDriver driver({TestPlan(7, 1)});
+  driver.Start();
+  driver.TickAt(30);
+  driver.Arrive(0, {Failed("p1", Code::kNotReady, Ran::kNo)});
+  BOOST_TEST(driver.sent.size() == 2);
+  BOOST_TEST(!driver.answer.has_value());
+  driver.Arrive(1, {Answered("p1")});
+  BOOST_TEST(driver.answer->coverage == 1);
+}
+
 // More instances are known than may be asked. The last try is made from here,
 // which works even when this instance is cut off from all others.
 BOOST_AUTO_TEST_CASE(the_last_try_is_sent_from_here) {
