Routing: owners that hang are passed over after three silent parts

Cause: until membership drops a paused or cut-off owner, each query waits out owner_timeout for it. Change: an instance with three silent parts in a row goes behind the other candidates, but for a probe each 250 ms, until anything is heard of it; pure in silent_peers.h. Conclusion: in the runner's test queries go to the second owner at once, and back to the first when it answers.

--- a/packages/routing/include/hibiscuspick/routing/query.h
+++ b/packages/routing/include/hibiscuspick/routing/query.h
@@ -117,10 +117,16 @@
   bool answered = false;
   std::vector<IndexVersion> held;
 };
+// The instance reported nothing of a part in time, or reported something.
+struct PeerSeen {
+  InstanceId instance;
+  bool is_silent = false;
+};
 struct Finish {
   Answer answer;
 };
-using Action = std::variant<SendPart, CancelPart, VersionSeen, Finish>;
+using Action =
+    std::variant<SendPart, CancelPart, VersionSeen, PeerSeen, Finish>;
 
 // One ask of some shards at one instance.
 struct PartState {
--- a/packages/routing/include/hibiscuspick/routing/query_runner.h
+++ b/packages/routing/include/hibiscuspick/routing/query_runner.h
@@ -13,6 +13,7 @@
 
 #include "hibiscuspick/routing/ask_budget.h"
 #include "hibiscuspick/routing/query.h"
+#include "hibiscuspick/routing/silent_peers.h"
 
 namespace hibiscuspick::routing {
 
@@ -63,6 +64,8 @@
   void Remove(QueryId id);
   bool Perform(const std::vector<Action>& actions, Answer* answer);
   void Learn(const VersionSeen& seen);
+  void Learn(const PeerSeen& seen);
+  std::vector<InstanceId> Candidates(const ServiceId& service);
   HeldVersions HeldNow();
 
   const InstanceId instance_;
@@ -74,6 +77,9 @@
   std::mutex held_mutex_;
   HeldVersions held_;
   std::atomic<bool> held_empty_{true};
+  std::mutex silent_mutex_;
+  SilentPeers silent_;
+  std::atomic<bool> silent_empty_{true};
   std::mutex budget_mutex_;
   AskBudget budget_;
 };
--- a/packages/routing/src/query.cc
+++ b/packages/routing/src/query.cc
@@ -209,6 +209,9 @@
   if (it == state->parts.end()) return;
   PartState* part = &it->second;
   auto outcomes = event.outcomes;
+  if (part->at != context->world.self) {
+    context->actions.emplace_back(PeerSeen{part->at, false});
+  }
   if (part->generation != state->generation) {
     CountAbandoned(context, part, outcomes);
     return;
@@ -273,6 +276,7 @@
   std::vector<size_t> again;
   for (auto& [id, part] : state->parts) {
     if (part.silent_at > context->now || part.waiting.empty()) continue;
+    context->actions.emplace_back(PeerSeen{part.at, true});
     const std::vector<size_t> missing = MissingOf(*state, part);
     if (!context->world.may_ask_again(missing.size())) {
       part.silent_at = context->now + state->request.values.owner_timeout;
--- a/packages/routing/src/query_runner.cc
+++ b/packages/routing/src/query_runner.cc
@@ -83,7 +83,9 @@
   QueryWorld world;
   world.self = instance_;
   world.incarnation = incarnation_;
-  world.candidates = ports_.candidates;
+  world.candidates = [this](const ServiceId& service) {
+    return Candidates(service);
+  };
   world.plans = plans;
   world.may_ask_again = [this](size_t shards) {
     const std::lock_guard lock(budget_mutex_);
@@ -138,6 +140,8 @@
       ports_.cancel_part(cancel->at, cancel->part);
     } else if (const auto* seen = std::get_if<VersionSeen>(&action)) {
       Learn(*seen);
+    } else if (const auto* peer = std::get_if<PeerSeen>(&action)) {
+      Learn(*peer);
     } else if (const auto* finish = std::get_if<Finish>(&action)) {
       *answer = finish->answer;
       done = true;
@@ -178,6 +182,26 @@
   held_empty_ = held_.reports.empty();
 }
 
+void QueryRunner::Learn(const PeerSeen& seen) {
+  if (!seen.is_silent && silent_empty_) return;
+  const std::lock_guard lock(silent_mutex_);
+  if (seen.is_silent) {
+    NoteSilent(&silent_, seen.instance, SteadyNow());
+    Log(Part::kRoute).info("instance {} is silent.", seen.instance.text);
+  } else {
+    NoteHeard(&silent_, seen.instance);
+  }
+  silent_empty_ = silent_.peers.empty();
+}
+
+std::vector<InstanceId> QueryRunner::Candidates(const ServiceId& service) {
+  std::vector<InstanceId> candidates = ports_.candidates(service);
+  if (silent_empty_) return candidates;
+  const std::lock_guard lock(silent_mutex_);
+  PutSuspectsLast(&silent_, &candidates, SteadyNow());
+  return candidates;
+}
+
 HeldVersions QueryRunner::HeldNow() {
   if (held_empty_) return {};
   const std::lock_guard lock(held_mutex_);
--- a/packages/routing/tests/customer_limits_test.cc
+++ b/packages/routing/tests/bounds_test.cc
@@ -1,10 +1,10 @@
-#include "hibiscuspick/routing/customer_limits.h"
-
 #include <boost/test/unit_test.hpp>
 #include <string>
 
 #include "hibiscuspick/routing/ask_budget.h"
+#include "hibiscuspick/routing/customer_limits.h"
 #include "hibiscuspick/routing/merge.h"
+#include "hibiscuspick/routing/silent_peers.h"
 
 namespace hibiscuspick::routing {
 
@@ -85,6 +85,24 @@
   BOOST_TEST(budget.left == 5);
 }
 
+BOOST_AUTO_TEST_CASE(suspects_are_asked_last_but_for_probes) {
+  SilentPeers silent;
+  const auto order = [&](double now) {
+    std::vector<InstanceId> list{InstanceId("a"), InstanceId("b")};
+    PutSuspectsLast(&silent, &list, Millis(now));
+    return list[0].text;
+  };
+  for (uint32_t i = 0; i < kSuspectAfter; ++i) {
+    BOOST_TEST(order(0) == "a");
+    NoteSilent(&silent, InstanceId("a"), Millis(0));
+  }
+  BOOST_TEST(order(1) == "b");
+  BOOST_TEST(order(kProbeEvery.count) == "a");
+  BOOST_TEST(order(kProbeEvery.count) == "b");
+  NoteHeard(&silent, InstanceId("a"));
+  BOOST_TEST(order(1) == "a");
+}
+
 BOOST_AUTO_TEST_CASE(hits_are_ordered_and_given_once) {
   std::vector<AnswerHit> hits;
   for (const char* id : {"b", "a", "c", "a"}) {
--- a/packages/routing/tests/query_runner_test.cc
+++ b/packages/routing/tests/query_runner_test.cc
@@ -143,6 +143,44 @@
   BOOST_TEST(cancelled == 1);
 }
 
+// An owner hangs while its connections stay open. After a few queries have
+// waited for it in vain, the next ones go to the second owner at once; when it
+// answers a probe again, it is asked as before.
+BOOST_AUTO_TEST_CASE(a_hanging_owner_is_soon_passed_over) {
+  QueryRunner* target = nullptr;
+  std::atomic<bool> hangs{true};
+  std::atomic<int> asked{0};
+  RunnerPorts ports = QuietPorts();
+  ports.candidates = [](const ServiceId&) {
+    return std::vector{InstanceId("a"), InstanceId("b"), InstanceId("self")};
+  };
+  ports.send_part = [&](const InstanceId& to, const limits::PartRequest& part) {
+    if (to.text == "a") ++asked;
+    if (to.text == "a" && hangs) return;
+    target->OnOutcomes(part.origin.part, AnswerAll(part));
+  };
+  QueryRunner runner(InstanceId("self"), Incarnation(1), ports);
+  target = &runner;
+  QueryRequest request = LongQuery();
+  request.values.owner_timeout = Millis(1);
+  const auto run = [&] {
+    return runner.Run(request, SteadyNow(), OnePlan, [] { return false; });
+  };
+  // A probe now and then is asked besides, on a slow machine more often.
+  int waited = 0;
+  for (int i = 0; i < 50; ++i) {
+    const Answer answer = run();
+    BOOST_TEST(answer.coverage == 1);
+    if (answer.asked_again > 0) ++waited;
+  }
+  BOOST_TEST(waited >= static_cast<int>(kSuspectAfter));
+  BOOST_TEST(waited == asked);
+  hangs = false;
+  asked = 0;
+  while (asked < 5) run();
+  BOOST_TEST(run().asked_again == 0U);
+}
+
 // A version was refused at one shard. Later queries know, and pin the older
 // version from the start rather than each paying for a restart.
 BOOST_AUTO_TEST_CASE(what_one_query_learns_of_versions_the_next_one_uses) {
