Routing: outcomes are moved, and hits beaten by the limit dropped early

Cause: each event was copied with its hits, and a query over many shards kept all of them until its end. Change: events pass by value; past eight limits' worth the hits are merged and cut.

--- a/packages/routing/include/hibiscuspick/routing/query.h
+++ b/packages/routing/include/hibiscuspick/routing/query.h
@@ -186,7 +186,7 @@
 QueryState MakeQuery(QueryRequest request, QueryId id, Millis arrived);
 
 // Moves the query on. After a Finish it takes no more events.
-std::vector<Action> Step(QueryState* state, const Event& event,
+std::vector<Action> Step(QueryState* state, Event event,
                          const QueryWorld& world, Millis now);
 
 // When the query next wants a Tick if nothing else happens.
--- a/packages/routing/include/hibiscuspick/routing/query_runner.h
+++ b/packages/routing/include/hibiscuspick/routing/query_runner.h
@@ -62,7 +62,7 @@
   Stripe& StripeOf(QueryId id) { return stripes_[id.value % kStripes]; }
   void Add(QueryId id, std::shared_ptr<Inbox> inbox);
   void Remove(QueryId id);
-  bool Perform(const std::vector<Action>& actions, Answer* answer);
+  bool Perform(std::vector<Action>* actions, Answer* answer);
   void Learn(const VersionSeen& seen);
   void Learn(const PeerSeen& seen);
   std::vector<InstanceId> Candidates(const ServiceId& service);
--- a/packages/routing/src/query.cc
+++ b/packages/routing/src/query.cc
@@ -29,6 +29,9 @@
   }
 }
 
+// Hits kept while a query runs, in limits.
+constexpr size_t kHitsKept = 8;
+
 bool IsSettled(const ShardState& shard) {
   return shard.answered || shard.asks == 0;
 }
@@ -49,6 +52,11 @@
   for (auto& it : outcome->hits) {
     state->hits.push_back({std::move(it), planned.work.shard});
   }
+  // What is already beaten by `limit` others can't come back, and keeping it
+  // would take a query over many shards some thousands of hits.
+  if (state->hits.size() > kHitsKept * state->request.limit) {
+    state->hits = MergeHits(std::move(state->hits), state->request.limit);
+  }
   context->actions.push_back(
       VersionSeen{planned.work.shard, state->plan->version, true, {}});
 }
@@ -203,24 +211,23 @@
   Conclude(context);
 }
 
-void On(StepContext* context, const OutcomesArrived& event) {
+void On(StepContext* context, OutcomesArrived&& event) {
   QueryState* state = context->state;
   const auto it = state->parts.find(event.part);
   if (it == state->parts.end()) return;
   PartState* part = &it->second;
-  auto outcomes = event.outcomes;
   if (part->at != context->world.self) {
     context->actions.emplace_back(PeerSeen{part->at, false});
   }
   if (part->generation != state->generation) {
-    CountAbandoned(context, part, outcomes);
+    CountAbandoned(context, part, event.outcomes);
     return;
   }
   if (part->silent_at != kNever) {
     part->silent_at = context->now + state->request.values.owner_timeout;
   }
   std::vector<size_t> again;
-  for (auto& outcome : outcomes) {
+  for (auto& outcome : event.outcomes) {
     const auto index = TakeOutcome(context, part, &outcome);
     if (index) again.push_back(*index);
   }
@@ -313,11 +320,11 @@
   return state;
 }
 
-std::vector<Action> Step(QueryState* state, const Event& event,
+std::vector<Action> Step(QueryState* state, Event event,
                          const QueryWorld& world, Millis now) {
   if (state->finished) return {};
   StepContext context{state, world, now, {}};
-  std::visit([&](const auto& it) { On(&context, it); }, event);
+  std::visit([&](auto& it) { On(&context, std::move(it)); }, event);
   return std::move(context.actions);
 }
 
--- a/packages/routing/src/query_runner.cc
+++ b/packages/routing/src/query_runner.cc
@@ -95,20 +95,19 @@
   QueryState state = MakeQuery(std::move(request), id, arrived);
   Answer answer;
   uint32_t logged = 0;
-  const auto advance = [&](const Event& event) {
-    const auto actions = Step(&state, event, world, SteadyNow());
+  const auto advance = [&](Event event) {
+    auto actions = Step(&state, std::move(event), world, SteadyNow());
     if (logged <= state.generation) {
       LogPin(state);
       logged = state.generation + 1;
     }
-    return Perform(actions, &answer);
+    return Perform(&actions, &answer);
   };
   bool done = advance(Started{HeldNow()});
   while (!done) {
     const Millis now = SteadyNow();
-    const auto events =
-        inbox->WaitUntil(Min(NextDue(state), now + kCallerPoll));
-    for (const auto& it : events) done = done || advance(it);
+    auto events = inbox->WaitUntil(Min(NextDue(state), now + kCallerPoll));
+    for (auto& it : events) done = done || advance(std::move(it));
     if (!done && stop()) done = advance(CallerGone{});
     if (!done && SteadyNow() >= NextDue(state)) done = advance(Tick{});
   }
@@ -118,9 +117,9 @@
   return answer;
 }
 
-bool QueryRunner::Perform(const std::vector<Action>& actions, Answer* answer) {
+bool QueryRunner::Perform(std::vector<Action>* actions, Answer* answer) {
   bool done = false;
-  for (const auto& action : actions) {
+  for (auto& action : *actions) {
     if (const auto* send = std::get_if<SendPart>(&action)) {
       Log(Part::kRoute)
           .info("query {} asks {} for {} shards of version {} as part {}.",
@@ -142,8 +141,8 @@
       Learn(*seen);
     } else if (const auto* peer = std::get_if<PeerSeen>(&action)) {
       Learn(*peer);
-    } else if (const auto* finish = std::get_if<Finish>(&action)) {
-      *answer = finish->answer;
+    } else if (auto* finish = std::get_if<Finish>(&action)) {
+      *answer = std::move(finish->answer);
       done = true;
     }
   }
--- a/packages/routing/tests/query_test.cc
+++ b/packages/routing/tests/query_test.cc
@@ -39,6 +39,25 @@
   BOOST_TEST(driver.answer->hits[1].hit.id == "d1");
 }
 
+// Far more hits than are wanted come in. The best of all are kept, also those
+// of the first shards.
+BOOST_AUTO_TEST_CASE(the_best_hits_survive_the_pruning) {
+  QueryDriver driver({TestPlan(7, 60)});
+  driver.Start();
+  for (int shard = 1; shard <= 60; ++shard) {
+    std::vector<limits::Hit> hits;
+    for (int i = 0; i < 5; ++i) {
+      const double score = (shard * 37 + i * 11) % 101;
+      hits.push_back(
+          {std::to_string(shard) + "." + std::to_string(i), score, "{}"});
+    }
+    driver.Arrive(0, {Answered("p" + std::to_string(shard), hits)});
+    BOOST_TEST(driver.state.hits.size() <= 45U);
+  }
+  BOOST_TEST_REQUIRE(driver.answer->hits.size() == 5U);
+  for (const auto& it : driver.answer->hits) BOOST_TEST(it.hit.score >= 99);
+}
+
 struct EndCase {
   std::string name;
   settings::Prefer prefer;
