--- a/packages/routing/include/hibiscuspick/routing/query.h
+++ b/packages/routing/include/hibiscuspick/routing/query.h
@@ -117,10 +117,16 @@
   bool answered = false;
   std::vector<IndexVersion> held;
 };
+// The instance reported nothing of a part in time, or reported something.
+struct PeerSeen {
+  InstanceId instance;
+  bool is_silent = false;
+};
 struct Finish {
   Answer answer;
 };
-using Action = std::variant<SendPart, CancelPart, VersionSeen, Finish>;
+using Action =
+    std::variant<SendPart, CancelPart, VersionSeen, PeerSeen, Finish>;
 
 // One ask of some shards at one instance.
 struct PartState {
@@ -180,7 +186,7 @@
 QueryState MakeQuery(QueryRequest request, QueryId id, Millis arrived);
 
 // Moves the query on. After a Finish it takes no more events.
-std::vector<Action> Step(QueryState* state, const Event& event,
+std::vector<Action> Step(QueryState* state, Event event,
                          const QueryWorld& world, Millis now);
 
 // When the query next wants a Tick if nothing else happens.
