Stand-ins answer records plainly; load ends with 3 if nothing answered

A record's reply was {"result": {…}}, which a caller then saw inside a second "result". It is now the result itself.

A load run that got no answer at all ended with 0, so that a script took it for a success.

--- a/packages/cli/main/main.cc
+++ b/packages/cli/main/main.cc
@@ -61,7 +61,9 @@
   const std::string text =
       plan.json ? DumpJson(ReportJson(report)) + "\n" : ReportTable(report);
   std::fputs(text.c_str(), stdout);
-  return report.total.wrong > 0 ? ExitCode::kRefused : ExitCode::kDone;
+  if (report.total.wrong > 0) return ExitCode::kRefused;
+  const bool answered = report.total.whole + report.total.partial > 0;
+  return answered ? ExitCode::kDone : ExitCode::kUnreachable;
 }
 
 ExitCode Run(const hibiscuspick::cli::HelpShown&) { return ExitCode::kDone; }
--- a/packages/standins/src/backend_work.cc
+++ b/packages/standins/src/backend_work.cc
@@ -243,10 +243,10 @@
                                 uint64_t documents,
                                 httplib::Response& response) {
   if (entry.is_record) {
-    const Json result = {{"key", entry.record_key},
-                         {"execution", attempt.execution},
-                         {"server", id_}};
-    return Answer(response, 200, Json{{"result", result}});
+    return Answer(response, 200,
+                  Json{{"key", entry.record_key},
+                       {"execution", attempt.execution},
+                       {"server", id_}});
   }
   const auto query = entry.body.find("query");
   const std::string mark =
--- a/packages/standins/tests/backend_model_test.cc
+++ b/packages/standins/tests/backend_model_test.cc
@@ -26,6 +26,7 @@
 using hibiscuspick::standins::Distribution;
 using hibiscuspick::standins::DrawServiceTime;
 using hibiscuspick::standins::FaultKind;
+using hibiscuspick::standins::HitScore;
 using hibiscuspick::standins::PatchSettings;
 using hibiscuspick::standins::ReplyFault;
 using hibiscuspick::standins::ServiceTime;
@@ -124,11 +125,13 @@
   BOOST_TEST(answer["complete"] == false);
   BOOST_REQUIRE(answer["hits"].size() == 3U);
   double last = 1;
+  uint32_t rank = 0;
   for (const Json& it : answer["hits"]) {
     BOOST_TEST(it["id"].get<std::string>().starts_with("p\"2-v7-"));
     BOOST_TEST(it["fields"]["query"] == "beef");
     BOOST_TEST(it["score"].get<double>() < last);
     last = it["score"].get<double>();
+    BOOST_TEST(last == HitScore(question.shard, question.version, rank++));
   }
 }
 
