--- a/packages/daemon/src/traffic_view.cc
+++ b/packages/daemon/src/traffic_view.cc
@@ -16,19 +16,24 @@
   return scope;
 }
 
+std::vector<BackendServerId> ServersOf(const settings::Configuration& it,
+                                       const ServiceId& id) {
+  std::vector<BackendServerId> servers;
+  const auto service = it.services.find(id);
+  if (service == it.services.end()) return servers;
+  for (const auto& server : service->second.backend_servers) {
+    servers.push_back(server.id);
+  }
+  return servers;
+}
+
 routing::Plans PlansOf(const settings::Configuration& configuration,
                        const settings::Route& route) {
   routing::Plans plans;
   const auto it = configuration.snapshots.find(route.snapshot);
   if (it == configuration.snapshots.end()) return plans;
   const auto servers_of = [&](const ServiceId& id) {
-    std::vector<BackendServerId> servers;
-    const auto service = configuration.services.find(id);
-    if (service == configuration.services.end()) return servers;
-    for (const auto& server : service->second.backend_servers) {
-      servers.push_back(server.id);
-    }
-    return servers;
+    return ServersOf(configuration, id);
   };
   for (const auto& manifest : it->second) {
     plans.push_back(routing::MakePlan(*manifest, route, servers_of));
@@ -40,6 +45,9 @@
 void AddRecordTargets(const settings::Snapshot& manifest, TrafficView* view) {
   for (const auto& shard : manifest.shards) {
     RecordTarget target{manifest.index_version, shard.backend_servers};
+    if (target.servers.empty()) {
+      target.servers = ServersOf(*view->configuration, shard.service);
+    }
     view->record_targets.try_emplace({shard.service, shard.shard},
                                      std::move(target));
   }
