--- a/packages/daemon/tests/test_fleet.h
+++ b/packages/daemon/tests/test_fleet.h
@@ -273,7 +273,9 @@
   }
 
   void Put(const std::string& path, const Json& body) {
-    BOOST_REQUIRE(Operate(0, "PUT", path, body).status == 200);
+    const auto answer = Operate(0, "PUT", path, body);
+    BOOST_REQUIRE_MESSAGE(answer.status == 200,
+                          path << ": " << answer.status << answer.body.dump());
   }
   void PutRoute(const std::string& name, const std::string& lane,
                 const std::string& prefer) {
