--- a/benchmarks/policy/decision_cost.cc
+++ b/benchmarks/policy/decision_cost.cc
@@ -21,6 +21,7 @@
 
 std::vector<settings::BackendServer> Servers(int n) {
   std::vector<settings::BackendServer> servers;
+  servers.reserve(static_cast<size_t>(n));
   for (int i = 0; i < n; ++i) {
     servers.push_back(
         {BackendServerId("claims-02-b" + std::to_string(i)), {}, {}, 2, 25});
--- a/benchmarks/policy/main.cc
+++ b/benchmarks/policy/main.cc
@@ -51,6 +51,8 @@
   no_hedge.hedge.enabled = false;
   limits::GroupPolicy idle_hedge;
   idle_hedge.hedge.first_in_line = false;
+  limits::GroupPolicy server_bulk;
+  server_bulk.bulk_rule = limits::BulkRule::kEachServer;
   limits::GroupPolicy group_bulk;
   group_bulk.bulk_rule = limits::BulkRule::kOneOfServers;
   limits::GroupPolicy any_bulk;
@@ -60,8 +62,9 @@
           {"owners, no hedges", no_hedge, true},
           {"owners, hedges to free slots", idle_hedge, true},
           {"owners, hedges first in line", {}, true},
-          {"… bulk leaves one of group", group_bulk, true},
-          {"… bulk may hold all", any_bulk, true}};
+          {"..., bulk spares each server", server_bulk, true},
+          {"..., bulk spares one of both", group_bulk, true},
+          {"..., bulk may hold all", any_bulk, true}};
 }
 
 double PercentileOf(std::vector<double>* values, double part) {
--- a/benchmarks/policy/simulation.cc
+++ b/benchmarks/policy/simulation.cc
@@ -111,6 +111,7 @@
 
 std::vector<settings::BackendServer> Simulation::Configs(int replicas) const {
   std::vector<settings::BackendServer> configs;
+  configs.reserve(static_cast<size_t>(replicas));
   for (int i = 0; i < replicas; ++i) {
     configs.push_back({BackendServerId("b" + std::to_string(i)),
                        {},
--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -197,6 +197,9 @@
   // By lane, since an export's query takes other times than a fraud check's.
   std::array<LatencySketch, kLaneCount> latency;
   std::array<StartRate, kLaneCount> start_rates;
+  // Whether bulk attempts were found to take much longer than urgent ones.
+  // Taken for granted until measured.
+  bool bulk_is_long = true;
   AttemptBudget budget;
   std::set<Timer> timers;
   GroupCounters counters;
--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -73,8 +73,9 @@
 };
 
 // Where bulk attempts must leave one slot to the lanes above: nowhere, on one
-// of the servers that the shard may go to, or on every server.
-enum class BulkRule { kNone, kOneOfServers, kEachServer };
+// of the servers that the shard may go to, on every server, or on every server
+// only while bulk attempts take much longer than urgent ones (else on one).
+enum class BulkRule { kNone, kOneOfServers, kEachServer, kByLength };
 
 struct GroupPolicy {
   // Counts each server's slots exactly and never starts more. Off: attempts
@@ -83,7 +84,7 @@
   // Lanes with earliest deadline first. Off: first come, first served.
   bool lanes_enabled = true;
   // Needs slots and lanes.
-  BulkRule bulk_rule = BulkRule::kEachServer;
+  BulkRule bulk_rule = BulkRule::kByLength;
   // The better of two servers by load and latency. Off: any at random.
   bool choice_enabled = true;
   // Refuses at the door what cannot be done by its deadline.
--- a/packages/limits/include/hibiscuspick/limits/server_state.h
+++ b/packages/limits/include/hibiscuspick/limits/server_state.h
@@ -56,10 +56,14 @@
 // Attempts that may run there at once, from slots or connections and the ramp.
 int Capacity(const ServerState& server, const GroupPolicy& policy, Millis now);
 
-// Whether an attempt of the lane may start now. `desperate` lets one attempt
-// at a time go to an ejected server, for a shard that has no other.
-bool HasRoom(const ServerState& server, const GroupPolicy& policy, Lane lane,
-             Millis now, bool desperate);
+// Whether an attempt may start now. `desperate` lets one attempt at a time go
+// to an ejected server, for a shard that has no other.
+bool HasRoom(const ServerState& server, const GroupPolicy& policy, Millis now,
+             bool desperate);
+
+// Whether bulk may take one more slot and still leave one to the others.
+bool HasRoomForBulk(const ServerState& server, const GroupPolicy& policy,
+                    Millis now);
 
 // Whether the server recently said that it does not hold the version.
 bool KnownToLack(const ServerState& server, IndexVersion version,
--- a/packages/limits/src/group_attempts.cc
+++ b/packages/limits/src/group_attempts.cc
@@ -55,6 +55,17 @@
   step.state->timers.insert({at, TimerKind::kHedge, task.work.task.value});
 }
 
+// How many times longer bulk attempts must take to count as long.
+constexpr double kMuchLonger = 2;
+
+void JudgeBulkLength(GroupState* state) {
+  const LatencySketch& bulk = state->latency[LaneIndex(Lane::kBulk)];
+  const LatencySketch& urgent = state->latency[LaneIndex(Lane::kUrgent)];
+  if (bulk.total < kEnoughSamples || urgent.total < kEnoughSamples) return;
+  state->bulk_is_long =
+      Quantile(bulk, 0.5) > Quantile(urgent, 0.5) * kMuchLonger;
+}
+
 // Whether another attempt may be made for a task whose attempt failed.
 bool MayRetry(const Step& step, const TaskState& task, Code code) {
   GroupState& state = *step.state;
@@ -213,6 +224,7 @@
   if (report.code == Code::kOk) {
     RecordLatency(&server, report.latency, now);
     AddSample(&state->latency[LaneIndex(attempt.lane)], report.latency);
+    if (attempt.lane == Lane::kBulk) internal::JudgeBulkLength(state);
   }
   internal::NoteResult(step, attempt.server, report.code);
   if (attempt.abandoned) {
--- a/packages/limits/src/group_queue.cc
+++ b/packages/limits/src/group_queue.cc
@@ -43,8 +43,18 @@
   });
 }
 
-// Whether bulk holds all the slots of the set but one. As in HasRoom, a set of
-// one slot is the exception.
+// The rule for the lane's next attempt; kNone for all lanes but bulk.
+BulkRule RuleFor(const GroupState& state, Lane lane) {
+  const GroupPolicy& policy = state.policy;
+  const bool applies =
+      lane == Lane::kBulk && policy.slots_enabled && policy.lanes_enabled;
+  if (!applies) return BulkRule::kNone;
+  if (policy.bulk_rule != BulkRule::kByLength) return policy.bulk_rule;
+  return state.bulk_is_long ? BulkRule::kEachServer : BulkRule::kOneOfServers;
+}
+
+// Whether bulk holds all the slots of the set but one. As for a single server,
+// a set of one slot is the exception.
 bool BulkHasItsShare(const Step& step, const ServerSet& set) {
   int capacity = 0;
   int bulk = 0;
@@ -59,18 +69,18 @@
 
 ServerSet WithRoom(const Step& step, Lane lane, const ServerSet& set) {
   const GroupPolicy& policy = step.state->policy;
-  if (lane == Lane::kBulk && policy.bulk_rule == BulkRule::kOneOfServers &&
-      policy.lanes_enabled && policy.slots_enabled &&
-      BulkHasItsShare(step, set)) {
-    return {};
-  }
+  const BulkRule rule = RuleFor(*step.state, lane);
+  if (rule == BulkRule::kOneOfServers && BulkHasItsShare(step, set)) return {};
   const bool desperate = IsDesperate(step, set);
   ServerSet found;
   for (const uint32_t it : set) {
-    if (HasRoom(step.state->servers[it], step.state->policy, lane, step.now,
-                desperate)) {
-      found.push_back(it);
+    const ServerState& server = step.state->servers[it];
+    if (!HasRoom(server, policy, step.now, desperate)) continue;
+    if (rule == BulkRule::kEachServer &&
+        !HasRoomForBulk(server, policy, step.now)) {
+      continue;
     }
+    found.push_back(it);
   }
   return found;
 }
--- a/packages/limits/src/server_state.cc
+++ b/packages/limits/src/server_state.cc
@@ -46,8 +46,8 @@
   return std::max(1, static_cast<int>(std::ceil(ramp)));
 }
 
-bool HasRoom(const ServerState& server, const GroupPolicy& policy, Lane lane,
-             Millis now, bool desperate) {
+bool HasRoom(const ServerState& server, const GroupPolicy& policy, Millis now,
+             bool desperate) {
   if (!TakesNewWork(server, now)) return false;
   if (now < server.paused_until) return false;
   if (server.ejected) {
@@ -55,16 +55,16 @@
     const bool probe = desperate || now >= server.ejected_until;
     return probe && server.in_flight == 0;
   }
-  const int capacity = Capacity(server, policy, now);
-  if (server.in_flight >= capacity) return false;
-  if (lane != Lane::kBulk || policy.bulk_rule != BulkRule::kEachServer ||
-      !policy.lanes_enabled || !policy.slots_enabled) {
-    return true;
-  }
+  return server.in_flight < Capacity(server, policy, now);
+}
+
+bool HasRoomForBulk(const ServerState& server, const GroupPolicy& policy,
+                    Millis now) {
   // An export's attempts are long. If they held all slots, an urgent task that
   // arrived just then would wait for one of them, and its caller would see a
   // whole export's latency. A server of one slot is the exception: bulk would
   // never run there.
+  const int capacity = Capacity(server, policy, now);
   return capacity == 1 || server.bulk_in_flight < capacity - 1;
 }
 
--- a/packages/limits/tests/lanes_test.cc
+++ b/packages/limits/tests/lanes_test.cc
@@ -107,6 +107,21 @@
   BOOST_TEST(group.TakeHanded().size() == 1u);
 }
 
+// Bulk attempts prove to be as short as urgent ones. Then one slot of both
+// servers is enough to spare, and the export need not go slower for nothing.
+BOOST_AUTO_TEST_CASE(short_bulk_attempts_spare_one_slot_of_the_group) {
+  GroupFixture group(2);
+  group.Learn();
+  for (int i = 0; i < 30; ++i) {
+    group.Add(Lane::kBulk, Millis(5000));
+    for (const auto& it : group.TakeHanded()) {
+      group.Finish(it.attempt, Code::kOk, Millis(6));
+    }
+  }
+  for (int i = 0; i < 10; ++i) group.Add(Lane::kBulk, Millis(5000));
+  BOOST_TEST(group.TakeHanded().size() == 3u);
+}
+
 // On servers of one slot that rule would keep an export out for ever.
 BOOST_AUTO_TEST_CASE(bulk_runs_on_single_slot_servers) {
   GroupFixture group(2, {}, 1);
