Records: the log line names the attempt's own code

Cause: in a trial with the daemons a few records ended 'outcome unknown' and the log did not say why (read_failed at a server that closed the connection). Change: the line names both codes.

--- a/packages/records/src/record_runner.cc
+++ b/packages/records/src/record_runner.cc
@@ -85,12 +85,12 @@
     CommitLater(bucket, ReleaseClaim{claim.key, claim.epoch, claim.token});
     return AnswerTooLate();
   }
-  const AfterDispatch after =
-      TakeDispatch(claim, ports_.dispatch(request, left));
+  const DispatchResult result = ports_.dispatch(request, left);
+  const AfterDispatch after = TakeDispatch(claim, result);
   Log(Part::kRecord)
-      .info("record {} of {} for shard {} ends {}.", request.request_id,
-            request.service.text, request.shard.text,
-            CodeName(after.answer.code));
+      .info("record {} of {} for shard {} ends {}, its attempt {}.",
+            request.request_id, request.service.text, request.shard.text,
+            CodeName(after.answer.code), CodeName(result.code));
   // The answer does not wait for the outcome's write: a repeat that comes
   // before it is told "may have run", which is true.
   if (after.change) CommitLater(bucket, *after.change);
--- a/packages/routing/include/hibiscuspick/routing/customer_limits.h
+++ b/packages/routing/include/hibiscuspick/routing/customer_limits.h
@@ -13,7 +13,7 @@
 
 namespace hibiscuspick::routing {
 
-// From the settings tree; 0 of either lets none in. Without values, no limit.
+// Of one customer; 0 of either lets none in. Without values, no limit.
 struct CustomerRules {
   double requests_per_second = std::numeric_limits<double>::infinity();
   // Requests that may come at once after a quiet time; at least one may.
