--- a/packages/operators/tests/server_test.cc
+++ b/packages/operators/tests/server_test.cc
@@ -124,6 +124,7 @@
   BOOST_TEST(put("{") == 400);
   BOOST_TEST(put("") == 400);
   BOOST_TEST(put("\xff\xfe") == 400);
+  BOOST_TEST(put("{\"snapshot\": 1e999}") == 400);
   BOOST_TEST(put(std::string(100000, '[')) == 400);
   BOOST_TEST(put(std::string(2 << 20, ' ')) == 413);
   BOOST_TEST(put(R"({"snapshot": ")" + std::string(5000, 'n') + "\"}") == 422);
