Membership: instances that do not watch know how old their view is

Change: digests carry how long ago the platform confirmed the sender's configuration; it is taken only by an instance that knows at least as much. A non-watcher calls the platform unreachable once that word is older than a watch's wait plus 5 s. Conclusion: age and reachability in answers are true on every instance.

--- a/packages/daemon/include/hibiscuspick/daemon/control_thread.h
+++ b/packages/daemon/include/hibiscuspick/daemon/control_thread.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -53,6 +54,10 @@
   // The configuration's watermark, for the watch of the platform.
   Revision CompleteTo() const { return Revision(complete_to_); }
 
+  // SteadyNow() at which the platform last confirmed the configuration, here or
+  // at an instance that said so; none if it never did.
+  std::optional<Millis> ConfirmedAt() const;
+
   uint64_t alarms() const { return alarms_; }
   uint64_t dropped_events() const { return dropped_; }
 
@@ -80,6 +85,8 @@
   std::shared_ptr<const settings::Configuration> configuration_;
   bool rebuild_wanted_ = false;
   std::atomic<uint64_t> complete_to_{0};
+  // Negative for never.
+  std::atomic<double> confirmed_at_{-1};
   std::atomic<uint64_t> alarms_{0};
   std::atomic<uint64_t> dropped_{0};
 
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -72,6 +72,12 @@
   done_.wait(lock, [&] { return stopping_ || done->load(); });
 }
 
+std::optional<Millis> ControlThread::ConfirmedAt() const {
+  const double at = confirmed_at_;
+  if (at < 0) return std::nullopt;
+  return Millis(at);
+}
+
 void ControlThread::Run() {
   Millis next_tick = SteadyNow();
   std::unique_lock lock(mutex_);
@@ -104,6 +110,7 @@
   const auto actions = membership::Step(&state_, event, SteadyNow(), &random_);
   for (const auto& it : actions) Perform(it);
   complete_to_ = state_.config.complete_to.value;
+  if (state_.config_confirmed) confirmed_at_ = state_.config_confirmed->count;
   if (rebuild_wanted_) Rebuild();
 }
 
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -23,6 +23,9 @@
 namespace hibiscuspick::daemon {
 namespace {
 
+// A watcher's word reaches its data centre by digests, each second to two.
+constexpr Millis kWordTakes{5000};
+
 // How often the stop looks whether all is done.
 constexpr Millis kStopPoll{10};
 
@@ -131,6 +134,11 @@
   records::DispatchResult DispatchRecord(const records::RecordRequest& request,
                                          Millis time_left);
   front::ConfigurationAge Age() const;
+  // The age of the watchers' word at which the platform counts as unreachable:
+  // a watch's whole wait, and some seconds for the word to get here.
+  Millis PlatformSilence() const {
+    return settings_.platform_watch + kWordTakes;
+  }
   Code Readiness() const;
   StatusFacts Facts() const;
   void AddGauges();
@@ -139,11 +147,11 @@
 
   const settings::DaemonSettings settings_;
   const Incarnation incarnation_;
+  const Millis started_ = SteadyNow();
   metrics::Registry metrics_;
   const platform::Calls calls_;
   std::atomic<bool> watching_{false};
   std::atomic<bool> platform_reachable_{false};
-  std::atomic<double> confirmed_wall_{0};
   std::atomic<bool> serving_{false};
   std::atomic<bool> leaving_{false};
 
@@ -338,7 +346,6 @@
         .warn("The platform {}.", reachable ? "answers" : "does not answer");
   }
   if (!reachable) return;
-  confirmed_wall_ = WallNow().count;
   const platform::WatchNews& news = ValueOf(answer);
   control_.Post(membership::WatchedConfig{news.delta, news.known});
 }
@@ -374,9 +381,14 @@
 }
 
 front::ConfigurationAge Daemon::Impl::Age() const {
-  const settings::Freshness freshness{Millis(confirmed_wall_),
-                                      platform_reachable_};
-  return {settings::AgeOf(freshness, WallNow()), platform_reachable_};
+  const auto confirmed = control_.ConfirmedAt();
+  if (!confirmed) return {SteadyNow() - started_, false};
+  const Millis age = SteadyNow() - *confirmed;
+  // Only watchers know at first hand; the others go by how old the watchers'
+  // word is.
+  const bool reachable =
+      watching_ ? platform_reachable_.load() : age < PlatformSilence();
+  return {age, reachable};
 }
 
 Code Daemon::Impl::Readiness() const {
--- a/packages/inner/inner.thrift
+++ b/packages/inner/inner.thrift
@@ -138,6 +138,9 @@
   8: list<i64> heartbeat_keys
   9: list<i32> heartbeats
   10: list<DataCentreAge> data_centres
+  // How long ago the platform confirmed that config_complete_to is the newest,
+  // to the sender or to whoever told it. Absent if nobody has.
+  11: optional double config_age_ms
 }
 
 // Entries themselves: a change on its way, or the answer to a digest.
--- a/packages/inner/src/wire.cc
+++ b/packages/inner/src/wire.cc
@@ -223,6 +223,7 @@
     age.age_ms = it.age.count;
     result.data_centres.push_back(std::move(age));
   }
+  if (digest.config_age) result.__set_config_age_ms(digest.config_age->count);
   return result;
 }
 
@@ -251,6 +252,9 @@
     result.data_centres.push_back(
         {DataCentreId(it.data_centre), Millis(it.age_ms)});
   }
+  if (digest.__isset.config_age_ms) {
+    result.config_age = Millis(digest.config_age_ms);
+  }
   return result;
 }
 
--- a/packages/membership/include/hibiscuspick/membership/control_core.h
+++ b/packages/membership/include/hibiscuspick/membership/control_core.h
@@ -58,6 +58,9 @@
   MemberTable table;
   ServerNewsTable servers;
   settings::ConfigStore config;
+  // Own time at which the platform last confirmed the configuration as the
+  // newest, here or at an instance that said so.
+  std::optional<Millis> config_confirmed;
   // Addresses from the settings file and from the platform's list, of
   // instances that may be there.
   std::vector<Address> seeds;
--- a/packages/membership/include/hibiscuspick/membership/gossip_message.h
+++ b/packages/membership/include/hibiscuspick/membership/gossip_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -36,6 +37,9 @@
   std::vector<uint64_t> heartbeat_keys;
   std::vector<uint32_t> heartbeats;
   std::vector<DataCentreAge> data_centres;
+  // How long ago the platform confirmed, to the sender or to whoever told it,
+  // that config_complete_to is the newest. None if nobody has.
+  std::optional<Millis> config_age;
 };
 
 // Entries that are newer at the sender.
--- a/packages/membership/src/config_spread.cc
+++ b/packages/membership/src/config_spread.cc
@@ -104,6 +104,18 @@
   digest->config_complete_to = turn->state->config.complete_to;
   digest->config_newest = turn->state->digest_newest;
   digest->config_hash = turn->state->digest_hash;
+  const auto& confirmed = turn->state->config_confirmed;
+  if (confirmed) digest->config_age = turn->now - *confirmed;
+}
+
+void TakeConfigAge(Turn* turn, const Digest& digest) {
+  ControlState* state = turn->state;
+  if (!digest.config_age || *digest.config_age < Millis(0)) return;
+  // What was confirmed to the sender is not all known here yet.
+  if (state->config.complete_to < digest.config_complete_to) return;
+  const Millis confirmed = turn->now - *digest.config_age;
+  state->config_confirmed =
+      Max(state->config_confirmed.value_or(confirmed), confirmed);
 }
 
 bool LacksConfig(Turn* turn, const Digest& digest) {
@@ -147,6 +159,7 @@
   auto applied =
       ApplyFromPlatform(&turn->state->config, watched.delta, watched.known);
   const bool changed = !applied.changed.empty();
+  if (applied.alarms.empty()) turn->state->config_confirmed = turn->now;
   Note(turn, std::move(applied));
   if (changed && !fresh) Push(turn, watched.delta, Reach::kAll, {});
 }
--- a/packages/membership/src/gossip.cc
+++ b/packages/membership/src/gossip.cc
@@ -251,6 +251,7 @@
   const bool own = digest.sender.data_centre == table.data_centre;
   if (!own) table.data_centres_heard[digest.sender.data_centre] = turn->now;
   TakeAges(turn, digest);
+  TakeConfigAge(turn, digest);
   auto reply = EmptyDigest(turn);
   if (own) TakeHeartbeats(turn, digest, &reply);
   const auto to = PeerOf(digest.sender);
--- a/packages/membership/src/turn.h
+++ b/packages/membership/src/turn.h
@@ -65,5 +65,6 @@
 // Whether the digest's sender has something that is missing here.
 bool LacksConfig(Turn* turn, const Digest& digest);
 void FillConfig(Turn* turn, Digest* digest);
+void TakeConfigAge(Turn* turn, const Digest& digest);
 
 }  // namespace hibiscuspick::membership
