Settings, platform: a restore below single accepted writes is found

A trial with three daemons and a restored stand-in raised no alarm at the watching instances: accepted writes are known before the watermark passes them, so the restored revision (54) was above the watermark (53) though version 56 was in force, and the old values passed for news. The store now keeps the highest revision it knows of, and answers are judged by that; watches still ask after the watermark, so that nothing between is skipped. The daemon has to hand the highest revision to WatchLoop to profit.

--- a/packages/operators/src/write.cc
+++ b/packages/operators/src/write.cc
@@ -53,9 +53,7 @@
 // A version that isn't above what is in force comes from a counter that was
 // set back: nobody will take it.
 bool WentBack(const Write& write, Revision version) {
-  const auto known =
-      InForce(*write.configuration, write.path).version.value_or(Revision());
-  return version <= known || version <= write.configuration->complete_to;
+  return version <= write.configuration->newest;
 }
 
 Reply Conclude(const Write& write, const Json& stored,
--- a/packages/platform/include/hibiscuspick/platform/watch.h
+++ b/packages/platform/include/hibiscuspick/platform/watch.h
@@ -29,7 +29,7 @@
   Millis next_whole;
   Millis not_before;
   int failures = 0;
-  // The highest revision asked or answered so far.
+  // Everything up to here was handed on: watches ask after it.
   Revision seen;
   // Whether the platform has answered yet. An instance that knows nothing
   // lists first: a watch would only answer at the next change.
@@ -46,9 +46,10 @@
 // When NextAction may change by time alone, at the latest `now` + 1 s.
 Millis NextLook(const WatchState& state, Millis now);
 
-// After an answer up to `complete_to` to a question asked when `known` was in
-// force. One below `known` (a restored platform) rests like a failure, since
-// the platform would answer the next question at once, again and again.
+// After an answer up to `complete_to` to a question asked when `known` was the
+// highest revision known of. One below `known` (a restored platform) rests like
+// a failure, since the platform would answer the next question at once, again
+// and again.
 void AfterAnswer(WatchState* state, WatchAction asked, Revision known,
                  Revision complete_to, const WatchOptions& options, Millis now,
                  Random* random);
--- a/packages/platform/include/hibiscuspick/platform/watch_loop.h
+++ b/packages/platform/include/hibiscuspick/platform/watch_loop.h
@@ -20,7 +20,7 @@
 // newest. For settings::ApplyFromPlatform.
 struct WatchNews {
   settings::ConfigDelta delta;
-  // The watermark that was in force when the platform was asked.
+  // The highest revision known of when the platform was asked.
   Revision known;
 };
 
@@ -31,14 +31,17 @@
  public:
   // An answer, or why there is none (the platform is unreachable).
   using Sink = std::function<void(const Result<WatchNews>&)>;
-  // ConfigStore::complete_to now. Called by the loop's thread under its lock:
-  // must not call back.
+  // A revision of the ConfigStore now. Called by the loop's thread under its
+  // lock: must not call back.
   using Known = std::function<Revision()>;
 
   // `calls` should be the loop's own: Stop closes them. `sink` is called by
-  // the loop's thread and must not block long. Starts resting.
-  WatchLoop(Calls calls, WatchOptions options, uint64_t seed, Known known,
-            Sink sink);
+  // the loop's thread and must not block long. `complete_to` gives the store's
+  // watermark, after which is asked, and `newest` its highest revision, by
+  // which a restored platform is told; without it the watermark stands in, and
+  // a restore below single accepted writes goes unseen. Starts resting.
+  WatchLoop(Calls calls, WatchOptions options, uint64_t seed, Known complete_to,
+            Sink sink, Known newest = nullptr);
   ~WatchLoop();
   WatchLoop(const WatchLoop&) = delete;
   WatchLoop& operator=(const WatchLoop&) = delete;
@@ -53,13 +56,19 @@
 
  private:
   void Run();
-  Result<WatchNews> Ask(WatchAction action, Revision known);
-  void Conclude(WatchAction action, Revision known,
-                const Result<WatchNews>& result);
+  // What is known when the platform is asked.
+  struct Question {
+    WatchAction action = WatchAction::kRest;
+    Revision complete_to;
+    Revision newest;
+  };
+  Result<WatchNews> Ask(const Question& question);
+  void Conclude(const Question& question, const Result<WatchNews>& result);
 
   const Calls calls_;
   const WatchOptions options_;
-  const Known known_;
+  const Known complete_to_;
+  const Known newest_;
   const Sink sink_;
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/packages/platform/src/watch.cc
+++ b/packages/platform/src/watch.cc
@@ -40,7 +40,9 @@
 void AfterAnswer(WatchState* state, WatchAction asked, Revision known,
                  Revision complete_to, const WatchOptions& options, Millis now,
                  Random* random) {
-  state->seen = std::max({state->seen, known, complete_to});
+  // Not up to `known`: between the watermark and a single newer object there
+  // may be others that were never seen.
+  if (complete_to >= known) state->seen = std::max(state->seen, complete_to);
   state->answered = true;
   if (asked == WatchAction::kListWhole) {
     state->whole_wanted = false;
--- a/packages/platform/src/watch_loop.cc
+++ b/packages/platform/src/watch_loop.cc
@@ -14,10 +14,11 @@
 }
 
 WatchLoop::WatchLoop(Calls calls, WatchOptions options, uint64_t seed,
-                     Known known, Sink sink)
+                     Known complete_to, Sink sink, Known newest)
     : calls_(std::move(calls)),
       options_(options),
-      known_(std::move(known)),
+      complete_to_(std::move(complete_to)),
+      newest_(newest ? std::move(newest) : complete_to_),
       sink_(std::move(sink)),
       random_(seed) {
   thread_ = std::thread([this] { Run(); });
@@ -52,17 +53,18 @@
   while (!stopping_) {
     const Millis now = SteadyNow();
     // The control thread may not have applied the last answer yet.
-    state_.seen = std::max(state_.seen, known_());
+    state_.seen = std::max(state_.seen, complete_to_());
     const WatchAction action = NextAction(state_, now);
     if (action == WatchAction::kRest) {
       wake_.wait_for(lock, (NextLook(state_, now) - now).ToMicros());
       continue;
     }
-    const Revision known = state_.seen;
+    const Question question{action, state_.seen,
+                            std::max(state_.seen, newest_())};
     lock.unlock();
-    const auto result = Ask(action, known);
+    const auto result = Ask(question);
     lock.lock();
-    Conclude(action, known, result);
+    Conclude(question, result);
     if (stopping_) return;
     lock.unlock();
     sink_(result);
@@ -70,21 +72,21 @@
   }
 }
 
-Result<WatchNews> WatchLoop::Ask(WatchAction action, Revision known) {
-  const bool whole = action == WatchAction::kListWhole;
-  const Revision after = whole ? Revision() : known;
+Result<WatchNews> WatchLoop::Ask(const Question& question) {
+  const bool whole = question.action == WatchAction::kListWhole;
+  const Revision after = whole ? Revision() : question.complete_to;
   const auto changes = whole ? calls_.list(kConfigKind, after)
                              : calls_.watch(kConfigKind, after, options_.wait);
   if (!IsOk(changes)) return ErrorOf(changes);
-  return WatchNews{ToDelta(after, ValueOf(changes)), known};
+  return WatchNews{ToDelta(after, ValueOf(changes)), question.newest};
 }
 
-void WatchLoop::Conclude(WatchAction action, Revision known,
+void WatchLoop::Conclude(const Question& question,
                          const Result<WatchNews>& result) {
   const Millis now = SteadyNow();
   if (IsOk(result)) {
-    AfterAnswer(&state_, action, known, ValueOf(result).delta.complete_to,
-                options_, now, &random_);
+    AfterAnswer(&state_, question.action, question.newest,
+                ValueOf(result).delta.complete_to, options_, now, &random_);
   } else {
     AfterFailure(&state_, options_, now, &random_);
   }
--- a/packages/platform/tests/watch_test.cc
+++ b/packages/platform/tests/watch_test.cc
@@ -51,7 +51,7 @@
   }
   BOOST_TEST(state.not_before.count > 1);
   BOOST_TEST((NextAction(state, Millis(1)) == WatchAction::kRest));
-  BOOST_TEST(state.seen.value == 9);
+  BOOST_TEST(state.seen.value == 0);
   AfterAnswer(&state, WatchAction::kWatch, Revision(9), Revision(9), kOptions,
               Millis(10000), &random);
   BOOST_TEST((NextAction(state, Millis(10000)) == WatchAction::kWatch));
--- a/packages/settings/include/hibiscuspick/settings/config_store.h
+++ b/packages/settings/include/hibiscuspick/settings/config_store.h
@@ -47,6 +47,9 @@
   // Everything up to this revision is in `objects`; single newer objects may
   // be there too. 0: nothing is known, the instance isn't ready.
   Revision complete_to;
+  // The highest revision known of at all: the watermark or a single newer
+  // object's version.
+  Revision newest;
   // Whether the platform or an instance that knew has answered at all. A new
   // platform answers that it is empty, at revision 0: then operators may write
   // the first objects, though there is nothing to serve yet.
@@ -78,7 +81,7 @@
 Applied ApplyDelta(ConfigStore* store, const ConfigDelta& delta);
 
 // Applies the platform's answer to a list or watch after `delta.after`, asked
-// when the store's watermark was `known`. Refuses it whole, with
+// when ConfigStore::newest was `known`. Refuses it whole, with
 // kPlatformWentBack, if the platform's revision is below `known`: it was
 // restored from a backup. With `delta.after` 0 the answer is everything, and
 // each object that the platform holds in an older version than the store
--- a/packages/settings/include/hibiscuspick/settings/configuration.h
+++ b/packages/settings/include/hibiscuspick/settings/configuration.h
@@ -27,6 +27,8 @@
 struct Configuration {
   // Every change up to here is in it.
   Revision complete_to;
+  // ConfigStore::newest.
+  Revision newest;
   // ConfigStore::known: without it, nothing can be said of what is stored.
   bool known = false;
   std::unordered_map<ServiceId, Service> services;
--- a/packages/settings/src/config_store.cc
+++ b/packages/settings/src/config_store.cc
@@ -18,6 +18,7 @@
   auto& known = store->objects[object.name];
   if (object.version > known.version) {
     known = object;
+    store->newest = std::max(store->newest, object.version);
     applied->changed.push_back(object.name);
     return;
   }
@@ -39,6 +40,7 @@
   applied->gap = store->complete_to < delta.after;
   if (!applied->gap && delta.complete_to > store->complete_to) {
     store->complete_to = delta.complete_to;
+    store->newest = std::max(store->newest, delta.complete_to);
     store->known = true;
     applied->watermark_raised = true;
   }
--- a/packages/settings/src/configuration.cc
+++ b/packages/settings/src/configuration.cc
@@ -153,6 +153,7 @@
   auto out = last ? std::make_shared<Configuration>(*last)
                   : std::make_shared<Configuration>();
   out->complete_to = store.complete_to;
+  out->newest = store.newest;
   out->known = store.known;
   bool changed = false;
   for (const auto& [name, object] : store.objects) {
--- a/packages/settings/tests/config_store_test.cc
+++ b/packages/settings/tests/config_store_test.cc
@@ -93,7 +93,7 @@
       Revision(),
       Revision(12),
       {Object("settings/system", 7, "old"), Object("routes/r", 12, "old")}};
-  const auto applied = ApplyFromPlatform(&store, old, store.complete_to);
+  const auto applied = ApplyFromPlatform(&store, old, store.newest);
   BOOST_REQUIRE(applied.alarms.size() == 1);
   BOOST_TEST((applied.alarms[0].code == hp::Code::kPlatformWentBack));
   BOOST_TEST(HashOf(store) == before);
@@ -113,7 +113,7 @@
                          Revision(25),
                          {Object("settings/system", 7, "old"),
                           Object("routes/same", 4), Object("routes/new", 22)}},
-                        store.complete_to);
+                        store.newest);
   BOOST_REQUIRE(applied.alarms.size() == 2);
   BOOST_TEST(applied.alarms[0].place == "routes/gone");
   BOOST_TEST(applied.alarms[1].place == "settings/system");
@@ -121,12 +121,27 @@
   BOOST_TEST(store.objects["routes/new"].version.value == 22);
 }
 
+// The restore comes after writes that were accepted here and that the platform
+// had not yet told in a listing. The watermark alone is below the restored
+// revision and would let the old values pass for news.
+BOOST_AUTO_TEST_CASE(a_restore_below_single_accepted_writes_is_found) {
+  auto store = StoreWith(Revision(53), {Object("settings/system", 53)});
+  ApplyDelta(&store, {{}, {}, {Object("settings/system", 56, "accepted")}});
+  BOOST_TEST(store.newest.value == 56);
+  const auto applied = ApplyFromPlatform(
+      &store,
+      {Revision(53), Revision(54), {Object("settings/system", 54, "other")}},
+      store.newest);
+  BOOST_TEST(applied.alarms.size() == 1);
+  BOOST_TEST(store.complete_to.value == 53);
+}
+
 // A watch answers slowly, and meanwhile a peer has told the news. The late
 // answer is older than what is known by now, but nothing was restored: an
 // alarm would wake someone for nothing.
 BOOST_AUTO_TEST_CASE(a_slow_answer_is_no_restore) {
   auto store = StoreWith(Revision(10), {});
-  const Revision known = store.complete_to;
+  const Revision known = store.newest;
   ApplyDelta(&store, {Revision(10), Revision(14), {Object("routes/a", 14)}});
   const auto applied = ApplyFromPlatform(
       &store, {Revision(10), Revision(12), {Object("routes/a", 12)}}, known);
