--- a/packages/routing/src/query_runner.cc
+++ b/packages/routing/src/query_runner.cc
@@ -83,7 +83,9 @@
   QueryWorld world;
   world.self = instance_;
   world.incarnation = incarnation_;
-  world.candidates = ports_.candidates;
+  world.candidates = [this](const ServiceId& service) {
+    return Candidates(service);
+  };
   world.plans = plans;
   world.may_ask_again = [this](size_t shards) {
     const std::lock_guard lock(budget_mutex_);
@@ -93,20 +95,19 @@
   QueryState state = MakeQuery(std::move(request), id, arrived);
   Answer answer;
   uint32_t logged = 0;
-  const auto advance = [&](const Event& event) {
-    const auto actions = Step(&state, event, world, SteadyNow());
+  const auto advance = [&](Event event) {
+    auto actions = Step(&state, std::move(event), world, SteadyNow());
     if (logged <= state.generation) {
       LogPin(state);
       logged = state.generation + 1;
     }
-    return Perform(actions, &answer);
+    return Perform(&actions, &answer);
   };
   bool done = advance(Started{HeldNow()});
   while (!done) {
     const Millis now = SteadyNow();
-    const auto events =
-        inbox->WaitUntil(Min(NextDue(state), now + kCallerPoll));
-    for (const auto& it : events) done = done || advance(it);
+    auto events = inbox->WaitUntil(Min(NextDue(state), now + kCallerPoll));
+    for (auto& it : events) done = done || advance(std::move(it));
     if (!done && stop()) done = advance(CallerGone{});
     if (!done && SteadyNow() >= NextDue(state)) done = advance(Tick{});
   }
@@ -116,9 +117,9 @@
   return answer;
 }
 
-bool QueryRunner::Perform(const std::vector<Action>& actions, Answer* answer) {
+bool QueryRunner::Perform(std::vector<Action>* actions, Answer* answer) {
   bool done = false;
-  for (const auto& action : actions) {
+  for (auto& action : *actions) {
     if (const auto* send = std::get_if<SendPart>(&action)) {
       Log(Part::kRoute)
           .info("query {} asks {} for {} shards of version {} as part {}.",
@@ -138,8 +139,10 @@
       ports_.cancel_part(cancel->at, cancel->part);
     } else if (const auto* seen = std::get_if<VersionSeen>(&action)) {
       Learn(*seen);
-    } else if (const auto* finish = std::get_if<Finish>(&action)) {
-      *answer = finish->answer;
+    } else if (const auto* peer = std::get_if<PeerSeen>(&action)) {
+      Learn(*peer);
+    } else if (auto* finish = std::get_if<Finish>(&action)) {
+      *answer = std::move(finish->answer);
       done = true;
     }
   }
@@ -178,6 +181,26 @@
   held_empty_ = held_.reports.empty();
 }
 
+void QueryRunner::Learn(const PeerSeen& seen) {
+  if (!seen.is_silent && silent_empty_) return;
+  const std::lock_guard lock(silent_mutex_);
+  if (seen.is_silent) {
+    NoteSilent(&silent_, seen.instance, SteadyNow());
+    Log(Part::kRoute).info("instance {} is silent.", seen.instance.text);
+  } else {
+    NoteHeard(&silent_, seen.instance);
+  }
+  silent_empty_ = silent_.peers.empty();
+}
+
+std::vector<InstanceId> QueryRunner::Candidates(const ServiceId& service) {
+  std::vector<InstanceId> candidates = ports_.candidates(service);
+  if (silent_empty_) return candidates;
+  const std::lock_guard lock(silent_mutex_);
+  PutSuspectsLast(&silent_, &candidates, SteadyNow());
+  return candidates;
+}
+
 HeldVersions QueryRunner::HeldNow() {
   if (held_empty_) return {};
   const std::lock_guard lock(held_mutex_);
