--- a/packages/inner/src/wire.cc
+++ b/packages/inner/src/wire.cc
@@ -40,7 +40,7 @@
   wire::ShardOutcome result;
   result.shard = outcome.shard.text;
   result.code = static_cast<int32_t>(outcome.code);
-  result.may_have_run = outcome.ran == Ran::kMaybe;
+  result.__set_may_have_run(outcome.ran == Ran::kMaybe);
   result.attempts = Signed32(outcome.attempts);
   result.hits.reserve(outcome.hits.size());
   for (const auto& it : outcome.hits) {
