--- a/benchmarks/gossip/main.cc
+++ b/benchmarks/gossip/main.cc
@@ -206,11 +206,14 @@
                            {"5 % failed", 0.05, 0},
                            {"5 % failed, 1 % lost", 0.05, 0.01}};
 
-// Runs `change` once for each of some seeds and prints the medians and worst.
+constexpr size_t kDegrees[] = {2, 4, 16};
+
+// One row: the medians over the runs, the worst, and the mean of the messages.
 void PrintSpread(const char* way, const Case& it, std::vector<Spread> runs,
                  double messages) {
   const auto by = [&](Millis Spread::*member) {
     std::vector<double> values;
+    values.reserve(runs.size());
     for (const auto& run : runs) values.push_back((run.*member).count);
     std::sort(values.begin(), values.end());
     return values;
@@ -290,7 +293,7 @@
       "| way | case | ms to half | to 99 % | to all, median | worst | messages "
       "until all |\n| --- | --- | --- | --- | --- | --- | --- |");
   for (const auto& it : kCases) {
-    for (const size_t degree : {2, 4, 16}) TreeSpread(setup, it, degree);
+    for (const size_t degree : kDegrees) TreeSpread(setup, it, degree);
     GossipSpread(setup, it);
   }
 }
--- a/packages/inner/src/wire.cc
+++ b/packages/inner/src/wire.cc
@@ -40,7 +40,8 @@
   wire::ShardOutcome result;
   result.shard = outcome.shard.text;
   result.code = static_cast<int32_t>(outcome.code);
-  result.__set_may_have_run(outcome.ran == Ran::kMaybe);
+  result.may_have_run = outcome.ran == Ran::kMaybe;
+  result.__isset.may_have_run = true;
   result.attempts = Signed32(outcome.attempts);
   result.hits.reserve(outcome.hits.size());
   for (const auto& it : outcome.hits) {
