--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -28,7 +28,7 @@
   Lane lowest_lane = Lane::kInteractive;
   // A second attempt starts after this quantile of the lane's recent latency,
   // but never before `min`.
-  double quantile = 0.95;
+  double quantile = 0.9;
   Millis min{2};
   // Used while too few latencies are known.
   Millis cold{50};
@@ -72,12 +72,19 @@
   Millis max_span{30000};
 };
 
+// Where bulk attempts must leave one slot to the lanes above: nowhere, on one
+// of the servers that the shard may go to, on every server, or on every server
+// only while bulk attempts take much longer than urgent ones (else on one).
+enum class BulkRule { kNone, kOneOfServers, kEachServer, kByLength };
+
 struct GroupPolicy {
   // Counts each server's slots exactly and never starts more. Off: attempts
   // are bounded by connections alone and wait at the server.
   bool slots_enabled = true;
   // Lanes with earliest deadline first. Off: first come, first served.
   bool lanes_enabled = true;
+  // Needs slots and lanes.
+  BulkRule bulk_rule = BulkRule::kByLength;
   // The better of two servers by load and latency. Off: any at random.
   bool choice_enabled = true;
   // Refuses at the door what cannot be done by its deadline.
