Routing: one id in two shards is two hits

Cause: hits were made unique by id alone, so that of two index families which number their documents apart one hit was lost, and the answer was not all there was. Change: a hit is its shard and id; since a shard counts once, a re-asked shard still can't give one twice.

--- a/packages/routing/include/hibiscuspick/routing/merge.h
+++ b/packages/routing/include/hibiscuspick/routing/merge.h
@@ -14,8 +14,10 @@
   ShardId shard;
 };
 
-// Highest score first, ties by id, each id once with its best score, cut to
-// `limit`.
+// Highest score first, ties by id, cut to `limit`. A shard's id comes once,
+// with its best score. The same id in two shards is two documents: index
+// families number theirs apart from each other, and dropping one would lose a
+// hit.
 std::vector<AnswerHit> MergeHits(std::vector<AnswerHit> hits, uint32_t limit);
 
 // Whether a shard's hits can be merged: scores are numbers, ids not empty. A
--- a/packages/routing/src/merge.cc
+++ b/packages/routing/src/merge.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <string_view>
-#include <unordered_set>
 #include <utility>
 
 namespace hibiscuspick::routing {
@@ -23,12 +23,12 @@
   // hits and must not move.
   std::vector<AnswerHit> merged;
   merged.reserve(std::min<size_t>(limit, hits.size()));
-  std::unordered_set<std::string_view> seen;
+  std::set<std::pair<std::string_view, std::string_view>> seen;
   for (auto& it : hits) {
     if (merged.size() == limit) break;
-    if (seen.contains(it.hit.id)) continue;
+    if (seen.contains({it.shard.text, it.hit.id})) continue;
     merged.push_back(std::move(it));
-    seen.insert(merged.back().hit.id);
+    seen.insert({merged.back().shard.text, merged.back().hit.id});
   }
   return merged;
 }
--- a/packages/routing/tests/bounds_test.cc
+++ b/packages/routing/tests/bounds_test.cc
@@ -114,6 +114,10 @@
   BOOST_TEST(merged[1].hit.id == "a");
   BOOST_TEST(merged[2].hit.id == "b");
   BOOST_TEST(MergeHits(hits, 1).size() == 1);
+  hits.push_back({{"b", 1.0, "{}"}, ShardId("other-family-1")});
+  const auto both = MergeHits(hits, 10);
+  BOOST_TEST_REQUIRE(both.size() == 4);
+  BOOST_TEST(both[2].shard.text == "other-family-1");
 }
 
 }  // namespace hibiscuspick::routing
