--- a/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
+++ b/packages/dispatch/include/hibiscuspick/dispatch/part_executor.h
@@ -37,7 +37,6 @@
   size_t max_workers = 512;
   // Bytes of a backend server's reply.
   size_t max_reply = 4 << 20;
-  Millis connect_timeout{250};
   // For a cancel, or for opening a connection ahead.
   Millis control_timeout{500};
   uint64_t seed = 1;
--- a/packages/dispatch/src/connection_pool.cc
+++ b/packages/dispatch/src/connection_pool.cc
@@ -14,15 +14,16 @@
 ConnectionPool::ConnectionPool(const Address& address,
                                http::ConnectionLimits limits,
                                ConnectionCounters* counters)
-    : address_(address), limits_(limits), counters_(counters) {}
+    : address_(address), counters_(counters), limits_(limits) {}
 
 ConnectionPool::~ConnectionPool() {
   counters_->open -= static_cast<uint64_t>(open_);
 }
 
-void ConnectionPool::SetShare(int connections) {
+void ConnectionPool::Configure(int share, Millis connect_timeout) {
   const std::lock_guard lock(mutex_);
-  share_ = connections;
+  share_ = share;
+  limits_.connect_timeout = connect_timeout;
 }
 
 std::shared_ptr<http::Connection> ConnectionPool::Take() {
--- a/packages/dispatch/src/connection_pool.h
+++ b/packages/dispatch/src/connection_pool.h
@@ -30,7 +30,8 @@
 
   const Address& address() const { return address_; }
 
-  void SetShare(int connections);
+  // What the settings allow, for connections made from now on.
+  void Configure(int share, Millis connect_timeout);
 
   // A connection for an attempt.
   std::shared_ptr<http::Connection> Take();
@@ -62,9 +63,9 @@
   std::shared_ptr<http::Connection> PopIdle();
 
   const Address address_;
-  const http::ConnectionLimits limits_;
   ConnectionCounters* const counters_;
   std::mutex mutex_;
+  http::ConnectionLimits limits_;
   std::vector<Idle> idle_;
   int open_ = 0;
   int share_ = 1;
--- a/packages/dispatch/src/decision_log.cc
+++ b/packages/dispatch/src/decision_log.cc
@@ -23,53 +23,64 @@
   return "";
 }
 
-void LogStart(const ServiceId& service, const Decision& it,
-              const BackendServerId& server) {
+bool IsAboutServer(DecisionKind kind) {
+  return kind == DecisionKind::kEject || kind == DecisionKind::kRestore ||
+         kind == DecisionKind::kDrain;
+}
+
+void LogStart(const ServiceId& service, const LoggedDecision& logged) {
+  const Decision& it = logged.decision;
   Log(Part::kLimit)
       .info(
-          "started {} {} of task {} of {} at {}, lane {}, waited {:.1f} ms, "
-          "{} waiting",
-          KindName(it.attempt_kind), it.attempt.value, it.task.value,
-          service.text, server.text, LaneName(it.lane), it.waited.count,
-          it.waiting);
+          "started {} {} for {} of {} at {}, task {}, lane {}, waited "
+          "{:.1f} ms, {} waiting",
+          KindName(it.attempt_kind), it.attempt.value, logged.shard.text,
+          service.text, logged.server.text, it.task.value, LaneName(it.lane),
+          it.waited.count, it.waiting);
 }
 
 void LogTask(std::string_view what, const ServiceId& service,
-             const Decision& it) {
+             const LoggedDecision& logged) {
+  const Decision& it = logged.decision;
   Log(Part::kLimit)
-      .info("{} task {} of {}, lane {}, {}, waited {:.1f} ms, {} waiting", what,
-            it.task.value, service.text, LaneName(it.lane), CodeName(it.code),
-            it.waited.count, it.waiting);
+      .info("{} {} of {}, task {}, lane {}, {}, waited {:.1f} ms, {} waiting",
+            what, logged.shard.text, service.text, it.task.value,
+            LaneName(it.lane), CodeName(it.code), it.waited.count, it.waiting);
 }
 
 void LogServer(std::string_view what, const ServiceId& service,
-               const Decision& it, const BackendServerId& server) {
+               const LoggedDecision& logged) {
   Log(Part::kBackend)
-      .warn("{} {} of {}, {}", what, server.text, service.text,
-            CodeName(it.code));
+      .warn("{} {} of {}, {}", what, logged.server.text, service.text,
+            CodeName(logged.decision.code));
 }
 
 }  // namespace
 
-void LogDecision(const ServiceId& service, const Decision& decision,
-                 const BackendServerId& server) {
-  switch (decision.kind) {
+bool IsLogged(const Decision& decision) {
+  return IsAboutServer(decision.kind)
+             ? Log(Part::kBackend).should_log(spdlog::level::warn)
+             : Log(Part::kLimit).should_log(spdlog::level::info);
+}
+
+void LogDecision(const ServiceId& service, const LoggedDecision& logged) {
+  switch (logged.decision.kind) {
     case DecisionKind::kStart:
-      return LogStart(service, decision, server);
+      return LogStart(service, logged);
     case DecisionKind::kRefuse:
-      return LogTask("refused", service, decision);
+      return LogTask("refused", service, logged);
     case DecisionKind::kDrop:
-      return LogTask("dropped", service, decision);
+      return LogTask("dropped", service, logged);
     case DecisionKind::kHedgeDenied:
-      return LogTask("no budget to hedge", service, decision);
+      return LogTask("no budget to hedge", service, logged);
     case DecisionKind::kRetryDenied:
-      return LogTask("no budget to retry", service, decision);
+      return LogTask("no budget to retry", service, logged);
     case DecisionKind::kEject:
-      return LogServer("ejected", service, decision, server);
+      return LogServer("ejected", service, logged);
     case DecisionKind::kRestore:
-      return LogServer("took back", service, decision, server);
+      return LogServer("took back", service, logged);
     case DecisionKind::kDrain:
-      return LogServer("sends nothing new to", service, decision, server);
+      return LogServer("sends nothing new to", service, logged);
   }
 }
 
--- a/packages/dispatch/src/executor_group.cc
+++ b/packages/dispatch/src/executor_group.cc
@@ -259,10 +259,15 @@
 
 void ExecutorGroup::GatherOne(const limits::Decision& decision,
                               Effects* effects) {
-  const bool named = decision.server < state_.servers.size();
-  effects->decisions.emplace_back(
-      decision,
-      named ? state_.servers[decision.server].config.id : BackendServerId());
+  if (!IsLogged(decision)) return;
+  LoggedDecision logged;
+  logged.decision = decision;
+  if (decision.server < state_.servers.size()) {
+    logged.server = state_.servers[decision.server].config.id;
+  }
+  const auto job = jobs_.find(decision.task);
+  if (job != jobs_.end()) logged.shard = job->second.shard;
+  effects->decisions.push_back(std::move(logged));
 }
 
 void ExecutorGroup::GatherOne(const limits::TaskDone& done, Effects* effects) {
@@ -299,7 +304,8 @@
       pools_[i] = std::make_shared<ConnectionPool>(server.config.address,
                                                    limits_, counters_);
     }
-    pools_[i]->SetShare(limits::ConnectionShare(server, state_.policy));
+    pools_[i]->Configure(limits::ConnectionShare(server, state_.policy),
+                         state_.policy.connections.connect_timeout);
   }
 }
 
--- a/packages/dispatch/src/executor_group.h
+++ b/packages/dispatch/src/executor_group.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "connection_pool.h"
+#include "decision_log.h"
 #include "hibiscuspick/dispatch/executor_metrics.h"
 #include "hibiscuspick/limits/group.h"
 #include "jobs.h"
@@ -48,8 +49,7 @@
   std::vector<std::shared_ptr<http::Connection>> aborts;
   std::vector<std::shared_ptr<ConnectionPool>> prepare;
   std::vector<FinishedJob> finished;
-  // For the log, with the server's name if there is one.
-  std::vector<std::pair<limits::Decision, BackendServerId>> decisions;
+  std::vector<LoggedDecision> decisions;
   Millis due = kNever;
 };
 
--- a/packages/dispatch/src/part_executor.cc
+++ b/packages/dispatch/src/part_executor.cc
@@ -299,8 +299,8 @@
   const std::unique_lock lock(groups_mutex_);
   GroupPtr& group = groups_[service];
   if (!group) {
-    const http::ConnectionLimits limits{options_.connect_timeout,
-                                        options_.max_reply};
+    http::ConnectionLimits limits;
+    limits.max_body = options_.max_reply;
     group = std::make_shared<ExecutorGroup>(
         service, ++last_group_, options_.seed, limits, &connections_);
   }
@@ -318,7 +318,7 @@
     Enqueue([this, group, order = std::move(it)] { RunAttempt(group, order); });
   }
   for (const auto& it : effects.decisions) {
-    LogDecision(group->service(), it.first, it.second);
+    LogDecision(group->service(), it);
   }
   GiveOut(std::move(effects.finished));
   if (!effects.aborts.empty()) {
--- a/packages/limits/include/hibiscuspick/limits/group_policy.h
+++ b/packages/limits/include/hibiscuspick/limits/group_policy.h
@@ -20,6 +20,8 @@
   bool owner = true;
   // Opened ahead at each server.
   int warm = 2;
+  // For making one.
+  Millis connect_timeout{250};
 };
 
 struct HedgePolicy {
