--- a/packages/limits/tests/random_events_test.cc
+++ b/packages/limits/tests/random_events_test.cc
@@ -35,7 +35,7 @@
   explicit Storm(uint64_t seed) : chance_(seed), group_(kServers, {}, kSlots) {}
 
   void Step() {
-    switch (chance_.Below(10)) {
+    switch (chance_.Below(11)) {
       case 0:
       case 1:
       case 2:
@@ -55,6 +55,9 @@
       case 8:
         News();
         break;
+      case 9:
+        HandOne();
+        break;
       default:
         group_.Advance(Millis(chance_.Fraction() * 20));
     }
@@ -148,8 +151,22 @@
 
   void OnStart(const StartAttempt& start) {
     BOOST_REQUIRE(ids_.insert(start.attempt).second);
-    // Some workers are slow to come to the socket.
-    if (chance_.Below(4) == 0) group_.now += Millis(chance_.Fraction() * 30);
+    // Some workers come to the socket only after other events.
+    if (chance_.Below(3) == 0) {
+      late_.push_back(start);
+    } else {
+      Hand(start);
+    }
+  }
+
+  void HandOne() {
+    if (late_.empty()) return;
+    const StartAttempt start = late_.back();
+    late_.pop_back();
+    Hand(start);
+  }
+
+  void Hand(const StartAttempt& start) {
     if (!group_.Hand(start.attempt)) return;
     const auto& server = group_.state.servers[start.server];
     BOOST_REQUIRE(TakesNewWork(server, group_.now));
@@ -191,6 +208,7 @@
   std::map<TaskId, Open> open_;
   std::map<AttemptId, TaskId> running_;
   std::vector<AttemptId> cancelled_;
+  std::vector<StartAttempt> late_;
   std::set<AttemptId> ids_;
 };
 
