An empty platform is a configuration; the record window follows the setting

Cause: the demo stopped at 'daemon 1 is not ready': readiness tested the watermark, which is 0 while nothing was ever written. records::Rules kept its default window whatever record_window_ms said. Change: both readiness tests ask the store whether anything is known; the daemon passes the window on with each view. Before: scripts/demo red.

--- a/packages/daemon/include/hibiscuspick/daemon/traffic_view.h
+++ b/packages/daemon/include/hibiscuspick/daemon/traffic_view.h
@@ -64,6 +64,9 @@
 routing::CustomerRules CustomerRulesOf(const TrafficView& view,
                                        const CustomerId& customer);
 
+// How long a record's key is remembered.
+Millis RecordWindowOf(const TrafficView& view);
+
 // All services as this instance's executor is to use them.
 std::vector<dispatch::GroupConfig> GroupConfigsOf(const TrafficView& view);
 
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -352,6 +352,7 @@
 
 void Daemon::Impl::TakeView(const TrafficView& view) {
   executor_.Apply(GroupConfigsOf(view));
+  records_.SetWindow(RecordWindowOf(view));
   mesh_.SetPeers(membership::PeersOf(*view.members));
   if (IsConfigured(view) && !serving_.exchange(true)) {
     Log(Part::kDaemon)
--- a/packages/daemon/src/traffic_view.cc
+++ b/packages/daemon/src/traffic_view.cc
@@ -137,9 +137,7 @@
   return view;
 }
 
-bool IsConfigured(const TrafficView& view) {
-  return view.configuration->complete_to != Revision();
-}
+bool IsConfigured(const TrafficView& view) { return view.configuration->known; }
 
 std::vector<InstanceId> CandidatesOf(const TrafficView& view,
                                      const ServiceId& service) {
@@ -231,6 +229,12 @@
   return rules;
 }
 
+Millis RecordWindowOf(const TrafficView& view) {
+  const auto value = settings::Resolve(view.configuration->settings,
+                                       ScopeOf(view), Key::kRecordWindowMs);
+  return Millis(value.number);
+}
+
 std::vector<dispatch::GroupConfig> GroupConfigsOf(const TrafficView& view) {
   std::vector<dispatch::GroupConfig> groups;
   const auto& drains = view.configuration->drains;
--- a/packages/membership/src/control_core.cc
+++ b/packages/membership/src/control_core.cc
@@ -219,9 +219,7 @@
   return std::move(turn.actions);
 }
 
-bool IsConfigured(const ControlState& state) {
-  return state.config.complete_to.value != 0;
-}
+bool IsConfigured(const ControlState& state) { return state.config.known; }
 
 bool IsWatcher(const ControlState& state) {
   std::vector<InstanceId> ids;
