--- a/packages/platform/include/hibiscuspick/platform/watch_loop.h
+++ b/packages/platform/include/hibiscuspick/platform/watch_loop.h
@@ -41,7 +41,7 @@
   // which a restored platform is told; without it the watermark stands in, and
   // a restore below single accepted writes goes unseen. Starts resting.
   WatchLoop(Calls calls, WatchOptions options, uint64_t seed, Known complete_to,
-            Sink sink, Known newest = nullptr);
+            Sink sink, const Known& newest = nullptr);
   ~WatchLoop();
   WatchLoop(const WatchLoop&) = delete;
   WatchLoop& operator=(const WatchLoop&) = delete;
--- a/packages/platform/src/watch_loop.cc
+++ b/packages/platform/src/watch_loop.cc
@@ -14,11 +14,11 @@
 }
 
 WatchLoop::WatchLoop(Calls calls, WatchOptions options, uint64_t seed,
-                     Known complete_to, Sink sink, Known newest)
+                     Known complete_to, Sink sink, const Known& newest)
     : calls_(std::move(calls)),
       options_(options),
       complete_to_(std::move(complete_to)),
-      newest_(newest ? std::move(newest) : complete_to_),
+      newest_(newest ? newest : complete_to_),
       sink_(std::move(sink)),
       random_(seed) {
   thread_ = std::thread([this] { Run(); });
