Membership: every instance knows how long the platform is silent

Only the watchers ask the platform. Digests now carry the age of the platform's last answer, and PlatformAge gives it for the daemon to use, which it does not do yet.

--- a/benchmarks/gossip/tree.cc
+++ b/benchmarks/gossip/tree.cc
@@ -79,16 +79,17 @@
       return;
     }
     Millis at = check_in + setup_.timeout;
-    // Dead nodes on the way down are children that the root still believes in;
-    // each costs another timeout.
+    // A dead node on the way down costs another timeout; it is reported, which
+    // frees its place, and the descent starts anew.
     size_t step = 0;
     for (;;) {
       ++result_.joins;
       at += Hop(node, step) * 2;
-      const auto& children = nodes_[step].children;
+      auto& children = nodes_[step].children;
       if (children.size() < setup_.degree) break;
       const size_t next = children[random_->Below(children.size())];
       if (nodes_[next].dead) {
+        std::erase(children, next);
         at += setup_.timeout;
         step = 0;
         continue;
--- a/packages/inner/gen/inner_types.cpp
+++ b/packages/inner/gen/inner_types.cpp
@@ -2295,6 +2295,11 @@
 void Digest::__set_data_centres(const std::vector<DataCentreAge> & val) {
   this->data_centres = val;
 }
+
+void Digest::__set_platform_age_ms(const double val) {
+  this->platform_age_ms = val;
+__isset.platform_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -2463,6 +2468,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->platform_age_ms);
+          this->__isset.platform_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2560,6 +2573,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.platform_age_ms) {
+    xfer += oprot->writeFieldBegin("platform_age_ms", ::apache::thrift::protocol::T_DOUBLE, 11);
+    xfer += oprot->writeDouble(this->platform_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2577,6 +2595,7 @@
   swap(a.heartbeat_keys, b.heartbeat_keys);
   swap(a.heartbeats, b.heartbeats);
   swap(a.data_centres, b.data_centres);
+  swap(a.platform_age_ms, b.platform_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2591,6 +2610,7 @@
   heartbeat_keys = other92.heartbeat_keys;
   heartbeats = other92.heartbeats;
   data_centres = other92.data_centres;
+  platform_age_ms = other92.platform_age_ms;
   __isset = other92.__isset;
 }
 Digest& Digest::operator=(const Digest& other93) {
@@ -2604,6 +2624,7 @@
   heartbeat_keys = other93.heartbeat_keys;
   heartbeats = other93.heartbeats;
   data_centres = other93.data_centres;
+  platform_age_ms = other93.platform_age_ms;
   __isset = other93.__isset;
   return *this;
 }
@@ -2620,6 +2641,7 @@
   out << ", " << "heartbeat_keys=" << to_string(heartbeat_keys);
   out << ", " << "heartbeats=" << to_string(heartbeats);
   out << ", " << "data_centres=" << to_string(data_centres);
+  out << ", " << "platform_age_ms="; (__isset.platform_age_ms ? (out << to_string(platform_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/inner/gen/inner_types.h
+++ b/packages/inner/gen/inner_types.h
@@ -931,7 +931,7 @@
 std::ostream& operator<<(std::ostream& out, const DataCentreAge& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : config_complete_to(false), config_hash(false), sender(false), reply_wanted(false), config_newest(false), member_buckets(false), server_buckets(false), heartbeat_keys(false), heartbeats(false), data_centres(false) {}
+  _Digest__isset() : config_complete_to(false), config_hash(false), sender(false), reply_wanted(false), config_newest(false), member_buckets(false), server_buckets(false), heartbeat_keys(false), heartbeats(false), data_centres(false), platform_age_ms(false) {}
   bool config_complete_to :1;
   bool config_hash :1;
   bool sender :1;
@@ -942,6 +942,7 @@
   bool heartbeat_keys :1;
   bool heartbeats :1;
   bool data_centres :1;
+  bool platform_age_ms :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -953,7 +954,8 @@
          : config_complete_to(0),
            config_hash(0),
            reply_wanted(0),
-           config_newest(0) {
+           config_newest(0),
+           platform_age_ms(0) {
   }
 
   virtual ~Digest() noexcept;
@@ -967,6 +969,7 @@
   std::vector<int64_t>  heartbeat_keys;
   std::vector<int32_t>  heartbeats;
   std::vector<DataCentreAge>  data_centres;
+  double platform_age_ms;
 
   _Digest__isset __isset;
 
@@ -990,6 +993,8 @@
 
   void __set_data_centres(const std::vector<DataCentreAge> & val);
 
+  void __set_platform_age_ms(const double val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(config_complete_to == rhs.config_complete_to))
@@ -1012,6 +1017,10 @@
       return false;
     if (!(data_centres == rhs.data_centres))
       return false;
+    if (__isset.platform_age_ms != rhs.__isset.platform_age_ms)
+      return false;
+    else if (__isset.platform_age_ms && !(platform_age_ms == rhs.platform_age_ms))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/packages/inner/inner.thrift
+++ b/packages/inner/inner.thrift
@@ -138,6 +138,9 @@
   8: list<i64> heartbeat_keys
   9: list<i32> heartbeats
   10: list<DataCentreAge> data_centres
+  // How long ago the platform last answered the sender, or anybody it has
+  // heard of.
+  11: optional double platform_age_ms
 }
 
 // Entries themselves: a change on its way, or the answer to a digest.
--- a/packages/inner/src/session.cc
+++ b/packages/inner/src/session.cc
@@ -47,7 +47,12 @@
 
 void Session::Refuse(const wire::Hello& hello, Code code) {
   ++context_.counters->refused_connections;
-  if (hello.instance == context_.identity->self.text) return;
+  // Its own address among the seeds; a second process with this id has another
+  // incarnation, and the operator should know.
+  const auto own = static_cast<int64_t>(context_.identity->incarnation.load());
+  const bool itself = hello.instance == context_.identity->self.text &&
+                      hello.incarnation == own;
+  if (itself) return;
   Log(Part::kMembers)
       .warn("A connection was refused: {} (its version {}, ours {}).",
             CodeName(code), hello.protocol_version, kProtocolVersion);
--- a/packages/inner/src/wire.cc
+++ b/packages/inner/src/wire.cc
@@ -224,6 +224,9 @@
     age.age_ms = it.age.count;
     result.data_centres.push_back(std::move(age));
   }
+  if (digest.platform_age) {
+    result.__set_platform_age_ms(digest.platform_age->count);
+  }
   return result;
 }
 
@@ -248,6 +251,9 @@
   for (const auto it : digest.heartbeats) {
     result.heartbeats.push_back(Unsigned32(it));
   }
+  if (digest.__isset.platform_age_ms) {
+    result.platform_age = Millis(digest.platform_age_ms);
+  }
   for (const auto& it : digest.data_centres) {
     result.data_centres.push_back(
         {DataCentreId(it.data_centre), Millis(it.age_ms)});
--- a/packages/inner/tests/wire_test.cc
+++ b/packages/inner/tests/wire_test.cc
@@ -62,6 +62,7 @@
   digest.heartbeats.assign(kMembers, 9);
   digest.data_centres.assign(kDataCentres,
                              {DataCentreId("oslo-2"), Millis(12.5)});
+  digest.platform_age = Millis(1500);
   return digest;
 }
 
@@ -115,6 +116,7 @@
   BOOST_TEST(digest.heartbeat_keys == sent.heartbeat_keys);
   BOOST_TEST(digest.heartbeats == sent.heartbeats);
   BOOST_TEST(digest.data_centres.at(5).age.count == 12.5);
+  BOOST_TEST((digest.platform_age == Millis(1500)));
   const auto news = Across(MakeNews());
   BOOST_TEST((news.members == MakeNews().members));
   BOOST_TEST((news.servers == MakeNews().servers));
--- a/packages/membership/include/hibiscuspick/membership/control_core.h
+++ b/packages/membership/include/hibiscuspick/membership/control_core.h
@@ -68,6 +68,9 @@
   std::optional<Millis> started;
   Millis last_tick;
   uint64_t ticks = 0;
+  // Own time at which the platform last answered this instance or anybody that
+  // it has heard of.
+  std::optional<Millis> platform_heard;
   bool watching = false;
   // What the published view was made from.
   uint64_t view_number = 0;
@@ -173,6 +176,11 @@
 std::vector<Action> Step(ControlState* state, const Event& event, Millis now,
                          Random* random);
 
+// How long ago the platform last answered anybody that this instance hears of,
+// or nothing if it never did. Most instances do not ask the platform, and would
+// otherwise go on saying what they saw when they last did.
+std::optional<Millis> PlatformAge(const ControlState& state, Millis now);
+
 // Whether the instance knows a configuration.
 bool IsConfigured(const ControlState& state);
 
--- a/packages/membership/include/hibiscuspick/membership/gossip_message.h
+++ b/packages/membership/include/hibiscuspick/membership/gossip_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -36,6 +37,9 @@
   std::vector<uint64_t> heartbeat_keys;
   std::vector<uint32_t> heartbeats;
   std::vector<DataCentreAge> data_centres;
+  // How long ago the platform last answered the sender, or anybody it has
+  // heard of; not there if never.
+  std::optional<Millis> platform_age;
 };
 
 // Entries that are newer at the sender.
--- a/packages/membership/include/hibiscuspick/membership/placement.h
+++ b/packages/membership/include/hibiscuspick/membership/placement.h
@@ -34,8 +34,8 @@
 
 using Placement = std::map<ServiceId, std::vector<InstanceId>>;
 
-// The candidates of every service. About 3 microseconds for each service at 66
-// instances, so that it is made once for each view and not for each query.
+// The candidates of every service. Hashes each member of the data centre for
+// each service, so that it is made once for each view and not for each query.
 Placement PlacementOf(const std::vector<settings::Service>& services,
                       const MembershipView& view);
 
--- a/packages/membership/src/control_core.cc
+++ b/packages/membership/src/control_core.cc
@@ -124,6 +124,7 @@
 
 void Handle(Turn* turn, const PlatformList& event) {
   auto& state = *turn->state;
+  state.platform_heard = turn->now;
   state.listed.clear();
   for (const auto& it : event.instances) {
     if (it.id != state.table.self) {
@@ -155,6 +156,7 @@
 }
 
 void Handle(Turn* turn, const WatchedConfig& event) {
+  turn->state->platform_heard = turn->now;
   HandleWatched(turn, event);
 }
 
@@ -219,6 +221,11 @@
   return std::move(turn.actions);
 }
 
+std::optional<Millis> PlatformAge(const ControlState& state, Millis now) {
+  if (!state.platform_heard) return std::nullopt;
+  return Max(now - *state.platform_heard, Millis(0));
+}
+
 bool IsConfigured(const ControlState& state) {
   return state.config.complete_to.value != 0;
 }
--- a/packages/membership/src/gossip.cc
+++ b/packages/membership/src/gossip.cc
@@ -43,6 +43,7 @@
 }
 
 void FillAges(const Turn& turn, Digest* digest) {
+  digest->platform_age = PlatformAge(*turn.state, turn.now);
   for (const auto& [id, heard] : turn.state->table.data_centres_heard) {
     digest->data_centres.push_back({id, turn.now - heard});
   }
@@ -50,6 +51,11 @@
 
 void TakeAges(Turn* turn, const Digest& digest) {
   auto& table = turn->state->table;
+  if (digest.platform_age && *digest.platform_age >= Millis(0)) {
+    auto& heard = turn->state->platform_heard;
+    const Millis told = turn->now - *digest.platform_age;
+    heard = heard ? Max(*heard, told) : told;
+  }
   for (const auto& it : digest.data_centres) {
     if (it.id == table.data_centre || it.age < Millis(0)) continue;
     const auto known = table.data_centres_heard.find(it.id);
--- a/packages/membership/tests/fleet_test.cc
+++ b/packages/membership/tests/fleet_test.cc
@@ -15,6 +15,7 @@
 using hibiscuspick::membership::IsConfigured;
 using hibiscuspick::membership::IsDraining;
 using hibiscuspick::membership::LocalNews;
+using hibiscuspick::membership::PlatformAge;
 using hibiscuspick::membership::ServerNews;
 using hibiscuspick::membership::testing::Fleet;
 using hibiscuspick::membership::testing::SimulatedNode;
@@ -235,6 +236,28 @@
   BOOST_TEST((fleet.RunUntil(ready, kMinute) != kNever));
 }
 
+// The platform goes away and comes back. Most instances never ask it, and yet
+// each answer to a caller says whether it is there and how old its data is.
+BOOST_DATA_TEST_CASE(all_know_how_long_the_platform_is_silent,
+                     data::make(kSeeds), seed) {
+  Fleet fleet(seed);
+  StartFleet(&fleet, 10);
+  const auto all_within = [&](Millis least, Millis most) {
+    return fleet.All([&](const auto& it) {
+      const auto age = PlatformAge(it.control, fleet.now());
+      return age && *age >= least && *age <= most;
+    });
+  };
+  fleet.RunFor(kMinute);
+  BOOST_TEST(all_within(Millis(0), Millis(8000)));
+  fleet.platform_up = false;
+  fleet.RunFor(kMinute * 2);
+  BOOST_TEST(all_within(kMinute * 1.9, kMinute * 2.2));
+  fleet.platform_up = true;
+  fleet.RunFor(Millis(10000));
+  BOOST_TEST(all_within(Millis(0), Millis(8000)));
+}
+
 // The two instances that watch the platform die. Others have to take over, or
 // changes made elsewhere would never arrive.
 BOOST_DATA_TEST_CASE(the_watch_is_taken_over, data::make(kSeeds), seed) {
