--- a/benchmarks/gossip/main.cc
+++ b/benchmarks/gossip/main.cc
@@ -191,10 +191,17 @@
   return nullptr;
 }
 
-uint64_t MessagesOf(Fleet* fleet) {
-  uint64_t n = 0;
-  for (const auto& [id, it] : fleet->nodes()) n += it->traffic.messages;
-  return n;
+// What all instances sent until the last had the change, digests included.
+struct Cost {
+  double messages = 0;
+  double bytes = 0;
+};
+
+void AddTraffic(Fleet* fleet, Cost* cost) {
+  for (const auto& [id, it] : fleet->nodes()) {
+    cost->messages += static_cast<double>(it->traffic.messages);
+    cost->bytes += static_cast<double>(it->traffic.bytes_sent);
+  }
 }
 
 struct Case {
@@ -206,11 +213,16 @@
                            {"5 % failed", 0.05, 0},
                            {"5 % failed, 1 % lost", 0.05, 0.01}};
 
+// The change of configuration that is spread, and with the tree its name and
+// lengths.
+constexpr size_t kObjectText = 2000;
+constexpr size_t kObjectBytes = kObjectText + 60;
+
 constexpr size_t kDegrees[] = {2, 4, 16};
 
 // One row: the medians over the runs, the worst, and the mean of the messages.
 void PrintSpread(const char* way, const Case& it, std::vector<Spread> runs,
-                 double messages) {
+                 const Cost& cost) {
   const auto by = [&](Millis Spread::*member) {
     std::vector<double> values;
     values.reserve(runs.size());
@@ -220,19 +232,21 @@
   };
   const auto all = by(&Spread::all);
   const size_t middle = runs.size() / 2;
-  std::printf("| %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f |\n", way, it.name,
-              by(&Spread::half)[middle], by(&Spread::most)[middle], all[middle],
-              all.back(), messages / static_cast<double>(runs.size()));
+  const auto count = static_cast<double>(runs.size());
+  std::printf("| %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f |\n", way,
+              it.name, by(&Spread::half)[middle], by(&Spread::most)[middle],
+              all[middle], all.back(), cost.messages / count,
+              cost.bytes / count / 1000);
 }
 
 // Makes the change and watches it spread.
 template <class Change, class Knows>
 Spread SpreadOne(Fleet* fleet, const Change& change, const Knows& knows,
-                 double* messages) {
+                 Cost* cost) {
   ClearTraffic(fleet);
   change();
   const auto spread = Watch(fleet, Millis(60000), knows);
-  *messages += static_cast<double>(MessagesOf(fleet));
+  AddTraffic(fleet, cost);
   return spread;
 }
 
@@ -241,8 +255,8 @@
   constexpr uint64_t kRuns = 3;
   std::vector<Spread> objects;
   std::vector<Spread> drains;
-  double object_messages = 0;
-  double drain_messages = 0;
+  Cost object_cost;
+  Cost drain_cost;
   for (uint64_t i = 0; i < kRuns; ++i) {
     Fleet fleet(setup.seed + i);
     StartFleet(&fleet, setup, Millis(3000));
@@ -254,21 +268,23 @@
     drains.push_back(SpreadOne(
         &fleet, [&] { fleet.Feed(first, LocalNews{news}); },
         [&](const auto& node) { return IsDraining(*node.view, server); },
-        &drain_messages));
+        &drain_cost));
     objects.push_back(SpreadOne(
         &fleet,
-        [&] { fleet.Write(first, "routes/new", std::string(2000, 'x')); },
+        [&] {
+          fleet.Write(first, "routes/new", std::string(kObjectText, 'x'));
+        },
         [](const auto& node) { return node.versions.contains("routes/new"); },
-        &object_messages));
+        &object_cost));
   }
-  PrintSpread("push and digests, a drain", it, drains, drain_messages);
-  PrintSpread("push and digests, a 2 KB object", it, objects, object_messages);
+  PrintSpread("push and digests, a drain", it, drains, drain_cost);
+  PrintSpread("push and digests, a 2 KB object", it, objects, object_cost);
 }
 
 void TreeSpread(const Setup& setup, const Case& it, size_t degree) {
   constexpr uint64_t kRuns = 101;
   std::vector<Spread> runs;
-  double messages = 0;
+  Cost cost;
   size_t depth = 0;
   for (uint64_t i = 0; i < kRuns; ++i) {
     TreeSetup tree;
@@ -280,18 +296,21 @@
     Random random(setup.seed + i);
     const auto result = RunTree(tree, &random);
     runs.push_back({result.half, result.most, result.all});
-    messages += static_cast<double>(result.changes + result.joins);
+    const auto changes = static_cast<double>(result.changes);
+    const auto joins = static_cast<double>(result.joins);
+    cost.messages += changes + joins;
+    cost.bytes += changes * (kObjectBytes + kOverhead) + joins * kOverhead;
     depth = std::max(depth, result.depth);
   }
   const auto way = "tree of degree " + std::to_string(degree) + ", depth " +
                    std::to_string(depth);
-  PrintSpread(way.c_str(), it, runs, messages);
+  PrintSpread(way.c_str(), it, runs, cost);
 }
 
 void RunSpread(const Setup& setup) {
   std::puts(
       "| way | case | ms to half | to 99 % | to all, median | worst | messages "
-      "until all |\n| --- | --- | --- | --- | --- | --- | --- |");
+      "until all | KB |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
   for (const auto& it : kCases) {
     for (const size_t degree : kDegrees) TreeSpread(setup, it, degree);
     GossipSpread(setup, it);
