--- a/packages/membership/tests/fleet_test.cc
+++ b/packages/membership/tests/fleet_test.cc
@@ -15,7 +15,6 @@
 using hibiscuspick::membership::IsConfigured;
 using hibiscuspick::membership::IsDraining;
 using hibiscuspick::membership::LocalNews;
-using hibiscuspick::membership::PlatformAge;
 using hibiscuspick::membership::ServerNews;
 using hibiscuspick::membership::testing::Fleet;
 using hibiscuspick::membership::testing::SimulatedNode;
@@ -244,8 +243,10 @@
   StartFleet(&fleet, 10);
   const auto all_within = [&](Millis least, Millis most) {
     return fleet.All([&](const auto& it) {
-      const auto age = PlatformAge(it.control, fleet.now());
-      return age && *age >= least && *age <= most;
+      const auto& confirmed = it.control.config_confirmed;
+      if (!confirmed) return false;
+      const Millis age = fleet.now() - *confirmed;
+      return age >= least && age <= most;
     });
   };
   fleet.RunFor(kMinute);
