dispatch: cancelling a part must not start its other shards

Cancel freed the first shard's slot, the engine gave it to the next shard of the same part, whose job was gone already, and the process ended with out_of_range.

--- a/packages/dispatch/src/executor_group.cc
+++ b/packages/dispatch/src/executor_group.cc
@@ -89,10 +89,8 @@
   const std::lock_guard lock(mutex_);
   Effects effects;
   Handle(&effects, [&](Millis now, limits::Actions* actions) {
-    for (const TaskId it : tasks) {
-      jobs_.erase(it);
-      limits::CancelTask(&state_, it, now, &random_, actions);
-    }
+    for (const TaskId it : tasks) jobs_.erase(it);
+    limits::CancelTasks(&state_, tasks, now, &random_, actions);
   });
   return effects;
 }
@@ -157,11 +155,13 @@
   const std::lock_guard lock(mutex_);
   std::vector<FinishedJob> finished;
   Handle(effects, [&](Millis now, limits::Actions* actions) {
+    std::vector<TaskId> tasks;
     for (auto& it : jobs_) {
-      limits::CancelTask(&state_, it.first, now, &random_, actions);
+      tasks.push_back(it.first);
       finished.push_back(Cancelled(std::move(it.second)));
     }
     jobs_.clear();
+    limits::CancelTasks(&state_, tasks, now, &random_, actions);
   });
   return finished;
 }
@@ -247,7 +247,10 @@
 
 void ExecutorGroup::GatherOne(const limits::StartAttempt& start,
                               Effects* effects) {
-  effects->starts.push_back({start.attempt, jobs_.at(start.task),
+  // Started and given up in the same event: MayStart would refuse it.
+  const auto job = jobs_.find(start.task);
+  if (job == jobs_.end()) return;
+  effects->starts.push_back({start.attempt, job->second,
                              state_.servers[start.server].config.id,
                              start.deadline, pools_[start.server]});
 }
--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -235,9 +235,10 @@
 void ConfirmCancel(GroupState* state, AttemptId attempt, Millis now,
                    Random* random, Actions* actions);
 
-// Nobody wants the task any more: no TaskDone follows.
-void CancelTask(GroupState* state, TaskId task, Millis now, Random* random,
-                Actions* actions);
+// Nobody wants the tasks any more: no TaskDone follows, and none of them is
+// started in the place of another.
+void CancelTasks(GroupState* state, const std::vector<TaskId>& tasks,
+                 Millis now, Random* random, Actions* actions);
 
 // News of a server from a peer, the platform or a reply.
 void TakeServerNews(GroupState* state, const BackendServerId& server,
--- a/packages/limits/src/group.cc
+++ b/packages/limits/src/group.cc
@@ -254,10 +254,11 @@
   internal::StartWhatFits(step);
 }
 
-void CancelTask(GroupState* state, TaskId task, Millis now, Random* random,
-                Actions* actions) {
+void CancelTasks(GroupState* state, const std::vector<TaskId>& tasks,
+                 Millis now, Random* random, Actions* actions) {
   const Step step{state, now, random, actions};
-  internal::ForgetTask(step, task);
+  // All first: a slot that one gives up must not go to the next of them.
+  for (const TaskId it : tasks) internal::ForgetTask(step, it);
   internal::StartWhatFits(step);
 }
 
--- a/packages/limits/tests/group_test.cc
+++ b/packages/limits/tests/group_test.cc
@@ -108,7 +108,7 @@
   const TaskId task = group.Add(Lane::kUrgent, Millis(200));
   const auto starts = group.TakeHanded();
   group.Add(Lane::kUrgent, Millis(200));
-  CancelTask(&group.state, task, group.now, &group.random, &group.actions);
+  CancelTasks(&group.state, {task}, group.now, &group.random, &group.actions);
   BOOST_TEST(group.Take<TaskDone>().empty());
   BOOST_REQUIRE(group.Take<CancelAttempt>().size() == 1u);
   BOOST_TEST(group.Take<StartAttempt>().empty());
--- a/packages/limits/tests/random_events_test.cc
+++ b/packages/limits/tests/random_events_test.cc
@@ -50,7 +50,7 @@
         ConfirmOne();
         break;
       case 7:
-        CancelOne();
+        CancelSome();
         break;
       case 8:
         News();
@@ -117,14 +117,18 @@
                   &group_.actions);
   }
 
-  void CancelOne() {
+  void CancelSome() {
     if (open_.empty() || chance_.Below(4) != 0) return;
+    std::vector<TaskId> tasks;
     auto it = open_.begin();
     std::advance(it, chance_.Below(open_.size()));
-    const TaskId task = it->first;
-    open_.erase(it);
-    CancelTask(&group_.state, task, group_.now, &group_.random,
-               &group_.actions);
+    while (it != open_.end() && tasks.size() < 4) {
+      tasks.push_back(it->first);
+      gone_.insert(it->first);
+      it = open_.erase(it);
+    }
+    CancelTasks(&group_.state, tasks, group_.now, &group_.random,
+                &group_.actions);
   }
 
   void News() {
@@ -151,6 +155,7 @@
 
   void OnStart(const StartAttempt& start) {
     BOOST_REQUIRE(ids_.insert(start.attempt).second);
+    BOOST_REQUIRE(!gone_.contains(start.task));
     // Some workers come to the socket only after other events.
     if (chance_.Below(3) == 0) {
       late_.push_back(start);
@@ -207,6 +212,8 @@
   GroupFixture group_;
   std::map<TaskId, Open> open_;
   std::map<AttemptId, TaskId> running_;
+  // Tasks that nobody wants any more.
+  std::set<TaskId> gone_;
   std::vector<AttemptId> cancelled_;
   std::vector<StartAttempt> late_;
   std::set<AttemptId> ids_;
