--- a/packages/inner/src/wire.cc
+++ b/packages/inner/src/wire.cc
@@ -41,6 +41,7 @@
   result.shard = outcome.shard.text;
   result.code = static_cast<int32_t>(outcome.code);
   result.may_have_run = outcome.ran == Ran::kMaybe;
+  result.__isset.may_have_run = true;
   result.attempts = Signed32(outcome.attempts);
   result.hits.reserve(outcome.hits.size());
   for (const auto& it : outcome.hits) {
@@ -223,6 +224,7 @@
     age.age_ms = it.age.count;
     result.data_centres.push_back(std::move(age));
   }
+  if (digest.config_age) result.__set_config_age_ms(digest.config_age->count);
   return result;
 }
 
@@ -251,6 +253,9 @@
     result.data_centres.push_back(
         {DataCentreId(it.data_centre), Millis(it.age_ms)});
   }
+  if (digest.__isset.config_age_ms) {
+    result.config_age = Millis(digest.config_age_ms);
+  }
   return result;
 }
 
