--- a/packages/scenario/src/world_queries.cc
+++ b/packages/scenario/src/world_queries.cc
@@ -182,12 +182,11 @@
     for (const auto& [id, task] : group.tasks) {
       if (task.origin == origin) tasks.push_back(id);
     }
-    for (const auto id : tasks) {
-      group.tasks.erase(id);
-      GroupActions actions;
-      limits::CancelTask(&group.state, id, now(), &node->random, &actions);
-      Carry(node, service, actions);
-    }
+    for (const auto id : tasks) group.tasks.erase(id);
+    if (tasks.empty()) continue;
+    GroupActions actions;
+    limits::CancelTasks(&group.state, tasks, now(), &node->random, &actions);
+    Carry(node, service, actions);
   }
 }
 
