--- a/packages/daemon/include/hibiscuspick/daemon/control_thread.h
+++ b/packages/daemon/include/hibiscuspick/daemon/control_thread.h
@@ -54,6 +54,9 @@
   // The configuration's watermark, for the watch of the platform.
   Revision CompleteTo() const { return Revision(complete_to_); }
 
+  // The highest revision known of at all, above the watermark perhaps.
+  Revision Newest() const { return Revision(newest_); }
+
   // SteadyNow() at which the platform last confirmed the configuration, here or
   // at an instance that said so; none if it never did.
   std::optional<Millis> ConfirmedAt() const;
@@ -85,6 +88,7 @@
   std::shared_ptr<const settings::Configuration> configuration_;
   bool rebuild_wanted_ = false;
   std::atomic<uint64_t> complete_to_{0};
+  std::atomic<uint64_t> newest_{0};
   // Negative for never.
   std::atomic<double> confirmed_at_{-1};
   std::atomic<uint64_t> alarms_{0};
--- a/packages/daemon/include/hibiscuspick/daemon/status.h
+++ b/packages/daemon/include/hibiscuspick/daemon/status.h
@@ -19,6 +19,7 @@
   std::shared_ptr<const TrafficView> view;
   Incarnation incarnation;
   bool watching = false;
+  Revision complete_to;
   front::ConfigurationAge age;
   Code readiness = Code::kNotReady;
   uint64_t alarms = 0;
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -110,6 +110,7 @@
   const auto actions = membership::Step(&state_, event, SteadyNow(), &random_);
   for (const auto& it : actions) Perform(it);
   complete_to_ = state_.config.complete_to.value;
+  newest_ = state_.config.newest.value;
   if (state_.config_confirmed) confirmed_at_ = state_.config_confirmed->count;
   if (rebuild_wanted_) Rebuild();
 }
@@ -130,6 +131,8 @@
                   .info("{} is in force at version {}.", name,
                         state_.config.objects.at(name).version.value);
             }
+            // Only the watermark rose, as with each write of a record.
+            if (it.changed.empty() && configuration_->known) return;
             configuration_ = settings::BuildConfiguration(state_.config,
                                                           configuration_.get());
             rebuild_wanted_ = true;
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -26,6 +26,10 @@
 // A watcher's word reaches its data centre by digests, each second to two.
 constexpr Millis kWordTakes{5000};
 
+// The last message to peers leaves within this; lost, they would take this
+// instance for silent and wait for it some seconds.
+constexpr Millis kGoodbyeTakes{50};
+
 // How often the stop looks whether all is done.
 constexpr Millis kStopPoll{10};
 
@@ -402,6 +406,7 @@
   facts.view = control_.View();
   facts.incarnation = incarnation_;
   facts.watching = watching_;
+  facts.complete_to = control_.CompleteTo();
   facts.age = Age();
   facts.readiness = Readiness();
   facts.alarms = control_.alarms();
@@ -454,7 +459,8 @@
   watch_ = std::make_unique<platform::WatchLoop>(
       platform::MakeHttpCalls(settings_.platform, limits), watch_options,
       incarnation_.value, [this] { return control_.CompleteTo(); },
-      [this](const auto& answer) { TakeWatchAnswer(answer); });
+      [this](const auto& answer) { TakeWatchAnswer(answer); },
+      [this] { return control_.Newest(); });
   if (auto ec = mesh_.Start(); !IsOk(ec)) return ec;
   control_.Start();
   lister_ = std::make_unique<InstanceLister>(
@@ -515,7 +521,8 @@
         .warn("{} buckets have outcomes that are not stored.",
               records_.unstored());
   }
-  control_.Post(membership::SelfPhase{membership::Phase::kGone});
+  control_.PostAndWait(membership::SelfPhase{membership::Phase::kGone});
+  std::this_thread::sleep_for(kGoodbyeTakes.ToMicros());
   executor_.Stop();
   closing.join();
   operators_server_.Stop();
--- a/packages/daemon/src/status.cc
+++ b/packages/daemon/src/status.cc
@@ -178,7 +178,7 @@
             {"watching", facts.watching},
             {"configuration_age_ms", facts.age.age.count}}},
           {"configuration",
-           {{"complete_to", view.configuration->complete_to.value},
+           {{"complete_to", facts.complete_to.value},
             {"alarms", facts.alarms},
             {"versions", VersionsJson(*view.configuration)},
             {"warnings", WarningsJson(*view.configuration)}}},
--- a/packages/daemon/src/traffic_view.cc
+++ b/packages/daemon/src/traffic_view.cc
@@ -109,6 +109,7 @@
   }
   group->policy.connections.owner = true;
   group->policy.connections.reserve = 0;
+  group->policy.connections.warm = 0;
   const int sharers = ServingMembers(*view.members);
   for (auto& server : group->service.backend_servers) {
     server.max_connections = std::max(1, server.max_connections / sharers);
--- a/packages/scenario/src/scenario.cc
+++ b/packages/scenario/src/scenario.cc
@@ -333,6 +333,23 @@
   return failed ? lua_error(lua) : 1;
 }
 
+// Lua seeds its tables' order anew in each state, so that a script that walks a
+// table by its keys would take another course each time. Here `pairs` goes in
+// the keys' order.
+constexpr char kSortedPairs[] = R"(
+local plain_pairs = pairs
+function pairs(list)
+  local keys = {}
+  for key in plain_pairs(list) do keys[#keys + 1] = key end
+  table.sort(keys, function(a, b) return tostring(a) < tostring(b) end)
+  local i = 0
+  return function()
+    i = i + 1
+    if keys[i] ~= nil then return keys[i], list[keys[i]] end
+  end
+end
+)";
+
 void AddWords(lua_State* lua, Run* run) {
   for (const auto& [name, word] : AllWords()) {
     lua_pushlightuserdata(lua, const_cast<Word*>(&word));
@@ -352,7 +369,8 @@
                                                              lua_close);
   luaL_openlibs(lua.get());
   AddWords(lua.get(), &run);
-  if (luaL_dofile(lua.get(), path.c_str()) != LUA_OK) {
+  if (luaL_dostring(lua.get(), kSortedPairs) != LUA_OK ||
+      luaL_dofile(lua.get(), path.c_str()) != LUA_OK) {
     run.failures.push_back(lua_tostring(lua.get(), -1));
   }
   ScenarioResult result;
--- a/packages/settings/include/hibiscuspick/settings/settings_keys.h
+++ b/packages/settings/include/hibiscuspick/settings/settings_keys.h
@@ -33,7 +33,6 @@
   kLimit,
   kMaxLimit,
   kMinCoverage,
-  kMaxBodyBytes,
   kRestartOnNewSnapshot,
   kSendingPolicy,
   kOwnerTimeoutMs,
@@ -57,7 +56,6 @@
   kEjectShareCap,
   kEjectMs,
   kSlowStartMs,
-  kConnectTimeoutMs,
   kRecordWindowMs,
 };
 
--- a/packages/settings/src/settings_keys.cc
+++ b/packages/settings/src/settings_keys.cc
@@ -14,7 +14,6 @@
 constexpr unsigned kPerCustomer = kTop | Bit(Level::kCustomer);
 constexpr unsigned kPerService = kTop | Bit(Level::kService);
 constexpr unsigned kPerRequest = kPerCustomer | Bit(Level::kRoute);
-constexpr unsigned kEverywhere = kPerRequest | Bit(Level::kService);
 
 constexpr double kHourMs = 3600.0 * 1000;
 constexpr double kDayMs = 24 * kHourMs;
@@ -37,8 +36,6 @@
     {kMinCoverage, "min_coverage", kFraction, 1, 0, 1, kPerRequest, kFree,
      "The share of documents from which an answer counts as enough. With "
      "prefer latency the answer is given as soon as it is there."},
-    {kMaxBodyBytes, "max_body_bytes", kInteger, 1 << 20, 1024, 64 << 20,
-     kPerRequest, kCapped, "The largest body of a request, in bytes."},
     {kRestartOnNewSnapshot, "restart_on_new_snapshot", kFlag, 1, 0, 1,
      kPerRequest, kFree,
      "Whether a query whose pinned snapshot is dropped by its backend servers "
@@ -46,13 +43,13 @@
     {kSendingPolicy, "sending_policy", kChoice, 0, 0, 1, kPerService, kFree,
      "Whether work goes to a backend server through its owner instance or "
      "directly from each instance."},
-    {kOwnerTimeoutMs, "owner_timeout_ms", kMillis, 60, 1, 60000, kPerService,
+    {kOwnerTimeoutMs, "owner_timeout_ms", kMillis, 60, 1, 60000, kPerRequest,
      kFree,
      "How long an owner may be silent about a query's part before the next "
      "instance is asked."},
-    {kHedgeEnabled, "hedge_enabled", kFlag, 1, 0, 1, kEverywhere, kFree,
+    {kHedgeEnabled, "hedge_enabled", kFlag, 1, 0, 1, kPerService, kFree,
      "Whether a slow attempt is doubled at another backend server."},
-    {kHedgeQuantile, "hedge_quantile", kFraction, 0.95, 0.5, 0.9999,
+    {kHedgeQuantile, "hedge_quantile", kFraction, 0.9, 0.5, 0.9999,
      kPerService, kFree,
      "The quantile of recent latency after which an attempt counts as slow."},
     {kHedgeMinMs, "hedge_min_ms", kMillis, 2, 0, 60000, kPerService, kFree,
@@ -73,14 +70,14 @@
      kPerService, kFree, "The ordinary lane's guaranteed share of slots."},
     {kLaneMinimumBulk, "lane_minimum_bulk", kFraction, 0.05, 0, 1, kPerService,
      kFree, "The bulk lane's guaranteed share of slots."},
-    {kQueueLimitUrgent, "queue_limit_urgent", kInteger, 512, 1, 100000,
+    {kQueueLimitUrgent, "queue_limit_urgent", kInteger, 1024, 1, 100000,
      kPerService, kFree, "Urgent tasks that may wait for one service."},
-    {kQueueLimitInteractive, "queue_limit_interactive", kInteger, 512, 1,
+    {kQueueLimitInteractive, "queue_limit_interactive", kInteger, 2048, 1,
      100000, kPerService, kFree,
      "Interactive tasks that may wait for one service."},
-    {kQueueLimitOrdinary, "queue_limit_ordinary", kInteger, 512, 1, 100000,
+    {kQueueLimitOrdinary, "queue_limit_ordinary", kInteger, 2048, 1, 100000,
      kPerService, kFree, "Ordinary tasks that may wait for one service."},
-    {kQueueLimitBulk, "queue_limit_bulk", kInteger, 512, 1, 100000, kPerService,
+    {kQueueLimitBulk, "queue_limit_bulk", kInteger, 4096, 1, 100000, kPerService,
      kFree, "Bulk tasks that may wait for one service."},
     {kCustomerRateLimit, "customer_rate_limit", kInteger, 0, 0, 1000000,
      kPerCustomer, kFree,
@@ -102,8 +99,6 @@
      kFree,
      "How long a new or returned backend server takes to reach its full "
      "share."},
-    {kConnectTimeoutMs, "connect_timeout_ms", kMillis, 100, 1, 60000,
-     kPerService, kFree, "The time for one new connection."},
     {kRecordWindowMs, "record_window_ms", kMillis, kDayMs, 60000, 30 * kDayMs,
      kTop, kFree, "How long a record's key is remembered."},
 }};
