--- a/scenarios/overload_by_bulk.lua
+++ b/scenarios/overload_by_bulk.lua
@@ -1,6 +1,6 @@
--- An export asks for half as much again as the servers can do, while fraud
--- checks go on. The fraud check must not notice; the export gets what is left,
--- and what is refused is refused at once.
+-- An export takes three quarters of what the servers can do, while fraud checks
+-- go on. The fraud check must not notice; the export gets what is left, and
+-- what is refused is refused at once.
 world{seed = 5}
 load("urgent", 60, 4000)
 advance(6000)
