--- a/scenarios/silent_owner.lua
+++ b/scenarios/silent_owner.lua
@@ -2,7 +2,7 @@
 -- its missing heartbeats the others must judge it, and others must own its
 -- services; else every query would wait for it first. Nor may old gossip bring
 -- it back to them while it hangs.
-world{seed = 27, services = 8}
+world{seed = 27, services = 8, instances = 6}
 pause("a-1", 60000)
 advance(12000)
 local since = now()
