load: count answers within the deadline, and sum shards and attempts

Cause: quantiles don't say which share of the answers was in time, and the ratio of attempts to shards can't be held against what arrived at the backend servers. Conclusion: the report's test covers in_time; the table is as it was.

--- a/packages/cli/include/hibiscuspick/cli/load_report.h
+++ b/packages/cli/include/hibiscuspick/cli/load_report.h
@@ -21,6 +21,12 @@
   uint64_t refused = 0;
   uint64_t failed = 0;
   uint64_t wrong = 0;
+  // Whole and partial answers that came within the deadline of the run's
+  // queries; 0 if the run names none.
+  uint64_t in_time = 0;
+  // Over all answers: shards asked for, attempts at backend servers.
+  uint64_t shards = 0;
+  uint64_t attempts = 0;
   // Of whole and partial answers.
   Millis p50, p90, p99, p999, most;
   double mean_coverage = 0;
@@ -50,9 +56,10 @@
 Millis Quantile(std::vector<Millis>& values, double share);
 
 // Answers whose `late` and instants lie before the warm-up are the caller's
-// to leave out.
+// to leave out. `deadline` is that of the run's queries, 0 for none.
 LoadReport MakeReport(const std::vector<RouteRate>& mix,
-                      const std::vector<LoadAnswer>& answers);
+                      const std::vector<LoadAnswer>& answers,
+                      Millis deadline = Millis(0));
 
 std::string ReportTable(const LoadReport& report);
 Json ReportJson(const LoadReport& report);
--- a/packages/cli/src/load_report.cc
+++ b/packages/cli/src/load_report.cc
@@ -15,11 +15,9 @@
   std::vector<Millis> latencies;
   double coverage = 0;
   uint64_t fully_covered = 0;
-  uint64_t shards = 0;
-  uint64_t attempts = 0;
 };
 
-void Add(Tally* tally, const LoadAnswer& answer) {
+void Add(Tally* tally, const LoadAnswer& answer, Millis deadline) {
   RouteReport& report = tally->report;
   ++report.sent;
   if (answer.wrong) ++report.wrong;
@@ -33,8 +31,9 @@
   tally->latencies.push_back(answer.latency);
   tally->coverage += answer.coverage;
   if (answer.coverage >= 1) ++tally->fully_covered;
-  tally->shards += answer.shards;
-  tally->attempts += answer.attempts;
+  if (answer.latency <= deadline) ++report.in_time;
+  report.shards += answer.shards;
+  report.attempts += answer.attempts;
 }
 
 double Ratio(double part, uint64_t whole) {
@@ -53,7 +52,7 @@
   report.share_whole_coverage =
       Ratio(static_cast<double>(tally->fully_covered), answered);
   report.attempts_per_shard =
-      Ratio(static_cast<double>(tally->attempts), tally->shards);
+      Ratio(static_cast<double>(report.attempts), report.shards);
   return report;
 }
 
@@ -91,6 +90,9 @@
           {"refused", it.refused},
           {"failed", it.failed},
           {"wrong", it.wrong},
+          {"in_time", it.in_time},
+          {"shards", it.shards},
+          {"attempts", it.attempts},
           {"codes", codes},
           {"p50_ms", it.p50.count},
           {"p90_ms", it.p90.count},
@@ -115,7 +117,7 @@
 }
 
 LoadReport MakeReport(const std::vector<RouteRate>& mix,
-                      const std::vector<LoadAnswer>& answers) {
+                      const std::vector<LoadAnswer>& answers, Millis deadline) {
   std::vector<Tally> tallies(mix.size());
   Tally total;
   total.report.route = "all";
@@ -124,8 +126,8 @@
   }
   std::vector<Millis> late;
   for (const LoadAnswer& it : answers) {
-    Add(&tallies[it.route], it);
-    Add(&total, it);
+    Add(&tallies[it.route], it, deadline);
+    Add(&total, it, deadline);
     late.push_back(it.late);
   }
   LoadReport report;
--- a/packages/cli/src/load_run.cc
+++ b/packages/cli/src/load_run.cc
@@ -39,6 +39,11 @@
   return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
+// 0 if the queries name none.
+Millis DeadlineOf(const LoadPlan& plan) {
+  return Millis(plan.options.value("deadline_ms", 0.0));
+}
+
 // The run's threads. One worker at a time holds the clock: it waits for the
 // next instant of the plan, lets go of the clock and sends. A worker that
 // leaves no one waiting for the clock starts another, so that there are as
@@ -61,7 +66,7 @@
     }
     all_done_.notify_all();
     progress.join();
-    LoadReport report = MakeReport(plan_.mix, answers_);
+    LoadReport report = MakeReport(plan_.mix, answers_, DeadlineOf(plan_));
     report.elapsed = SteadyNow() - start_;
     report.own_cores =
         (ProcessorSeconds() - before) * kMillisPerSecond / report.elapsed.count;
--- a/packages/cli/tests/load_test.cc
+++ b/packages/cli/tests/load_test.cc
@@ -194,7 +194,8 @@
   answers.emplace_back();
   answers.back().kind = AnswerKind::kRefused;
   answers.back().code = Code::kQueueFull;
-  const auto report = MakeReport({{"fraud", 1}, {"portal", 1}}, answers);
+  const auto report =
+      MakeReport({{"fraud", 1}, {"portal", 1}}, answers, Millis(20));
   BOOST_TEST(report.total.sent == 4U);
   BOOST_TEST(report.total.whole == 2U);
   BOOST_TEST(report.routes[0].refused == 1U);
@@ -202,6 +203,8 @@
   BOOST_TEST(report.routes[1].mean_coverage == 0.75);
   BOOST_TEST(report.routes[1].share_whole_coverage == 0.5);
   BOOST_TEST(report.total.attempts_per_shard == 1.05);
+  BOOST_TEST(report.total.in_time == 2U);
+  BOOST_TEST(report.routes[1].in_time == 1U);
   BOOST_TEST(report.total.p50.count == 20);
   BOOST_TEST(report.total.most.count == 30);
   const Json json = ReportJson(report);
