--- a/benchmarks/fleet/fleet.py
+++ b/benchmarks/fleet/fleet.py
@@ -1,29 +1,40 @@
 """Starts a platform stand-in, backend stand-ins and daemons on loopback.
 
 Used by the measuring scripts of this folder. Every process is a child of the
-script and is ended by its pid.
+script and is ended by its pid. HP_PORT_SHIFT moves all ports, for two fleets
+on one machine; HP_BIN names another folder with the programs.
 """
 
 import json
 import os
 import pathlib
 import re
+import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.error
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-BIN = ROOT / "build" / "release" / "bin"
+BIN = pathlib.Path(
+    os.environ.get("HP_BIN", ROOT / "build" / "release" / "bin"))
 TOKEN = "token"
-PLATFORM_PORT = 19000
-BACKEND_PORT = 20000
+PORT_SHIFT = int(os.environ.get("HP_PORT_SHIFT", "0"))
+DAEMON_PORT = 10000 + PORT_SHIFT
+PLATFORM_PORT = 19000 + PORT_SHIFT
+BACKEND_PORT = 20000 + PORT_SHIFT
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
+LANE_ROUTES = {
+    lane: {"lane": lane, "prefer": "coverage"}
+    for lane in ("urgent", "interactive", "ordinary", "bulk")}
+
+
 def call(method, port, path, body=None, headers=None, timeout=10):
     """One HTTP call; gives (status, parsed body or text)."""
     data = None if body is None else json.dumps(body).encode()
@@ -48,7 +59,7 @@
         self.fleet = fleet
         self.name = f"i{index:03d}"
         self.data_centre = data_centre
-        base = 10000 + 3 * index
+        base = DAEMON_PORT + 3 * index
         self.callers, self.operators, self.inner = base, base + 1, base + 2
         self.log = fleet.folder / f"{self.name}.log"
         self.process = None
@@ -110,21 +121,32 @@
 class Fleet:
     """A platform, backend servers and daemons, ended on exit."""
 
-    def __init__(self, daemons, data_centres, backends=0, backend_settings=None):
+    def __init__(self, daemons, data_centres, backends=0,
+                 backend_settings=None, seed=1):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hibiscuspick-"))
         self.helpers = []
         self.backends = backends
+        self.seed = seed
         self.backend_settings = backend_settings or {"held": [7]}
         self.daemons = [
             Daemon(self, i, f"dc-{i % data_centres}") for i in range(daemons)]
 
     def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__(*sys.exc_info())
+            raise
+        return self
+
+    def _start(self):
         self._helper("platform", "--listen", f"127.0.0.1:{PLATFORM_PORT}")
         if self.backends:
             self._helper("backends", "--listen", f"127.0.0.1:{BACKEND_PORT}",
                          "--count", str(self.backends), "--control",
                          str(BACKEND_PORT - 1), "--settings",
-                         json.dumps(self.backend_settings))
+                         json.dumps(self.backend_settings), "--seed",
+                         str(self.seed))
         self._wait_for(PLATFORM_PORT, "/control/state")
         if self.backends:
             self._wait_for(BACKEND_PORT - 1, "/control/stats")
@@ -133,9 +155,8 @@
             it.start()
         for it in self.daemons:
             self._wait_for(it.callers, "/healthz")
-        return self
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, *_):
         for it in self.daemons:
             it.stop(signal.SIGKILL)
         for it in self.daemons:
@@ -144,6 +165,9 @@
             it.terminate()
         for it in self.helpers:
             it.wait(30)
+        # After a failure the logs are what tells why.
+        if kind is None:
+            shutil.rmtree(self.folder)
 
     def _helper(self, *arguments):
         with open(self.folder / "standins.log", "ab") as log:
@@ -174,8 +198,9 @@
             raise RuntimeError(f"PUT {path}: {status} {body}")
         return body["version"]
 
-    def configure(self, services, per_service=2, slots=2, connections=25):
-        """One shard a service, and a route for each lane."""
+    def configure(self, services, per_service=2, slots=2, connections=25,
+                  routes=None):
+        """One shard a service, and the routes given or one for each lane."""
         centres = sorted({it.data_centre for it in self.daemons})
         for s in range(services):
             servers = [
@@ -189,9 +214,8 @@
             "id": "first", "index_version": 7,
             "shards": [{"shard": f"p{s}", "service": f"s{s}",
                         "documents": 100} for s in range(services)]})
-        for lane in ("urgent", "interactive", "ordinary", "bulk"):
-            self.put(f"/v1/routes/{lane}",
-                     {"snapshot": "all", "lane": lane, "prefer": "coverage"})
+        for name, route in (routes or LANE_ROUTES).items():
+            self.put(f"/v1/routes/{name}", {"snapshot": "all", **route})
 
     def wait_until_joined(self, seconds=120):
         """Until each daemon sees all others serving."""
@@ -205,6 +229,17 @@
             time.sleep(0.5)
         return not left
 
+    def backend(self, method, path, body=None):
+        """One call of the backend stand-ins' control port."""
+        status, reply = call(
+            method, BACKEND_PORT - 1, f"/control/{path}", body)
+        if status != 200:
+            raise RuntimeError(f"{method} {path}: {status} {reply}")
+        return reply
+
+    def targets(self):
+        return ",".join(f"127.0.0.1:{it.callers}" for it in self.daemons)
+
     def platform_calls(self):
         return call("GET", PLATFORM_PORT, "/control/state")[1]["calls"]
 
