--- a/packages/settings/src/settings_keys.cc
+++ b/packages/settings/src/settings_keys.cc
@@ -49,7 +49,7 @@
      "instance is asked."},
     {kHedgeEnabled, "hedge_enabled", kFlag, 1, 0, 1, kPerService, kFree,
      "Whether a slow attempt is doubled at another backend server."},
-    {kHedgeQuantile, "hedge_quantile", kFraction, 0.9, 0.5, 0.9999,
+    {kHedgeQuantile, "hedge_quantile", kFraction, 0.95, 0.5, 0.9999,
      kPerService, kFree,
      "The quantile of recent latency after which an attempt counts as slow."},
     {kHedgeMinMs, "hedge_min_ms", kMillis, 2, 0, 60000, kPerService, kFree,
