inner: refuse unknown types before Thrift makes an enum of them

Cause: the fuzz test failed under the undefined behaviour sanitizer: Thrift 0.17 casts any byte of a frame to its enum of types and reads it. Change: the protocol looks at type bytes first and ends the connection at an unknown one, or where a frame ends before its types. Conclusion: the byte for the kind of call, read by Thrift's own dispatcher, is not checked yet.

--- a/packages/inner/src/framed.cc
+++ b/packages/inner/src/framed.cc
@@ -2,16 +2,23 @@
 
 #include <thrift/TConfiguration.h>
 #include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TProtocolException.h>
+#include <thrift/protocol/TVirtualProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <string>
 #include <utility>
 
 namespace hibiscuspick::inner {
 namespace {
 
 using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TProtocol;
+using apache::thrift::protocol::TProtocolException;
 using apache::thrift::protocol::TProtocolFactory;
+using apache::thrift::protocol::TType;
+using apache::thrift::protocol::TVirtualProtocol;
 using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TTransport;
 
@@ -47,6 +54,74 @@
   const ByteCounts bytes_;
 };
 
+// Thrift 0.17 makes its enum of types from whatever byte a frame has, and
+// reading an enum beyond its range is undefined: a damaged frame could take
+// any path through the decoder, which the undefined behaviour sanitizer shows.
+// So the byte is looked at first and an unknown type refused, which ends the
+// connection. The look costs one call for each field and list.
+class CheckedProtocol
+    : public TVirtualProtocol<CheckedProtocol, TBinaryProtocol> {
+ public:
+  CheckedProtocol(const std::shared_ptr<TTransport>& transport,
+                  int32_t max_length)
+      : TVirtualProtocol(transport) {
+    setStringSizeLimit(max_length);
+    setContainerSizeLimit(max_length);
+    setStrict(true, true);
+  }
+
+  uint32_t readFieldBegin(std::string& name, TType& type, int16_t& id) {
+    CheckTypes(1);
+    return TBinaryProtocol::readFieldBegin(name, type, id);
+  }
+
+  uint32_t readListBegin(TType& type, uint32_t& size) {
+    CheckTypes(1);
+    return TBinaryProtocol::readListBegin(type, size);
+  }
+
+  uint32_t readSetBegin(TType& type, uint32_t& size) {
+    CheckTypes(1);
+    return TBinaryProtocol::readSetBegin(type, size);
+  }
+
+  uint32_t readMapBegin(TType& key, TType& value, uint32_t& size) {
+    CheckTypes(2);
+    return TBinaryProtocol::readMapBegin(key, value, size);
+  }
+
+ private:
+  // The next `n` bytes are types. A frame that ends before them is damaged as
+  // well: Thrift would go on in the next one, whose bytes were not looked at.
+  void CheckTypes(uint32_t n) {
+    uint32_t available = n;
+    const uint8_t* next = trans_->borrow(nullptr, &available);
+    if (next == nullptr) {
+      throw TProtocolException(TProtocolException::INVALID_DATA,
+                               "frame too short");
+    }
+    for (uint32_t i = 0; i < n; ++i) {
+      if (next[i] <= apache::thrift::protocol::T_UTF16) continue;
+      throw TProtocolException(TProtocolException::INVALID_DATA,
+                               "unknown type");
+    }
+  }
+};
+
+class CheckedProtocolFactory : public TProtocolFactory {
+ public:
+  explicit CheckedProtocolFactory(int32_t max_length)
+      : max_length_(max_length) {}
+
+  std::shared_ptr<TProtocol> getProtocol(
+      std::shared_ptr<TTransport> transport) override {
+    return std::make_shared<CheckedProtocol>(transport, max_length_);
+  }
+
+ private:
+  const int32_t max_length_;
+};
+
 }  // namespace
 
 std::shared_ptr<TTransport> MakeFramed(std::shared_ptr<TTransport> inner,
@@ -59,8 +134,8 @@
 }
 
 std::shared_ptr<TProtocolFactory> MakeProtocolFactory(size_t max_frame) {
-  const auto most = static_cast<int32_t>(max_frame);
-  return std::make_shared<TBinaryProtocolFactory>(most, most, true, true);
+  return std::make_shared<CheckedProtocolFactory>(
+      static_cast<int32_t>(max_frame));
 }
 
 }  // namespace hibiscuspick::inner
