Operators: a write waits for an instance that just started

The daemons' test of records failed once on a busy machine: it wrote to an instance before the platform's first answer and got 503 not_ready.

--- a/packages/operators/src/write.cc
+++ b/packages/operators/src/write.cc
@@ -193,6 +193,20 @@
   return reply;
 }
 
+// The view in force, waited for a few seconds: an instance that has just
+// started hears from the platform or a peer very soon, and an operator's script
+// that writes first thing need not fail for that.
+std::shared_ptr<const settings::Configuration> WaitUntilKnown(
+    const Ports& ports) {
+  constexpr int kMostWaits = 50;
+  auto configuration = ports.configuration();
+  for (int i = 0; i < kMostWaits && !IsKnown(configuration.get()); ++i) {
+    ports.pause();
+    configuration = ports.configuration();
+  }
+  return configuration;
+}
+
 Reply RunWriteRequest(const Ports& ports, const Request& request,
                       const ObjectName& name, Json value) {
   const auto precondition = ReadPrecondition(request, name.kind);
@@ -205,7 +219,7 @@
     return ErrorReply(kStatusBadRequest, Code::kMalformedRequest,
                       "X-Write-Id must be a name");
   }
-  auto configuration = ports.configuration();
+  auto configuration = WaitUntilKnown(ports);
   if (!IsKnown(configuration.get())) return NotReadyReply();
   const std::string write_id = WriteIdOf(ports, request, value);
   Write write{ports,
--- a/packages/operators/tests/api_test.cc
+++ b/packages/operators/tests/api_test.cc
@@ -325,6 +325,27 @@
   BOOST_TEST(deleted.body["warnings"].size() == 1);
 }
 
+// A script writes to an instance the moment it has started. The first answer
+// of the platform is then on its way; the write waits for it.
+BOOST_AUTO_TEST_CASE(a_write_waits_for_an_instance_that_just_started) {
+  FakePlatform platform;
+  Instance instance(&platform);
+  auto ports = instance.ports();
+  int looks = 0;
+  ports.configuration =
+      [&]() -> std::shared_ptr<const hp::settings::Configuration> {
+    if (++looks < 5) return nullptr;
+    return instance.configuration();
+  };
+  hp::operators::Request request;
+  request.method = "PUT";
+  request.path = kSystem;
+  request.authorization = std::string("Bearer ") + hp::operators::kToken;
+  request.if_none_match = "*";
+  request.body = "{}";
+  BOOST_TEST(Handle(ports, request).status == 200);
+}
+
 // An instance that knows no configuration can't check a value or say what is
 // in force.
 BOOST_AUTO_TEST_CASE(an_instance_without_configuration_says_so) {
