--- a/packages/daemon/include/hibiscuspick/daemon/control_thread.h
+++ b/packages/daemon/include/hibiscuspick/daemon/control_thread.h
@@ -91,6 +91,7 @@
   std::atomic<uint64_t> newest_{0};
   // Negative for never.
   std::atomic<double> confirmed_at_{-1};
+  std::atomic<bool> started_{false};
   std::atomic<uint64_t> alarms_{0};
   std::atomic<uint64_t> dropped_{0};
 
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -39,6 +39,7 @@
 ControlThread::~ControlThread() { Stop(); }
 
 void ControlThread::Start() {
+  started_ = true;
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -66,6 +67,8 @@
 
 void ControlThread::PostAndWait(membership::Event event) {
   const auto done = std::make_shared<std::atomic<bool>>(false);
+  // Nobody would handle it, as when the start failed half way.
+  if (!started_) return;
   std::unique_lock lock(mutex_);
   queue_.push_back({std::move(event), done});
   wake_.notify_one();
--- /dev/null
+++ b/packages/daemon/src/daemon_facts.cc
@@ -0,0 +1,67 @@
+// What one instance tells of itself.
+#include "daemon_impl.h"
+
+namespace hibiscuspick::daemon {
+
+front::ConfigurationAge Daemon::Impl::Age() const {
+  const auto confirmed = control_.ConfirmedAt();
+  if (!confirmed) return {SteadyNow() - started_, false};
+  const Millis age = SteadyNow() - *confirmed;
+  // Only watchers know at first hand; the others go by how old the watchers'
+  // word is.
+  const bool reachable =
+      watching_ ? platform_reachable_.load() : age < PlatformSilence();
+  return {age, reachable};
+}
+
+Code Daemon::Impl::Readiness() const {
+  if (leaving_) return Code::kLeaving;
+  return serving_ ? Code::kOk : Code::kNotReady;
+}
+
+StatusFacts Daemon::Impl::Facts() const {
+  StatusFacts facts;
+  facts.view = control_.View();
+  facts.incarnation = incarnation_;
+  facts.watching = watching_;
+  facts.complete_to = control_.CompleteTo();
+  facts.age = Age();
+  facts.readiness = Readiness();
+  facts.alarms = control_.alarms();
+  facts.executor = executor_.Metrics();
+  return facts;
+}
+
+void Daemon::Impl::AddGauges() {
+  const auto add = [this](const char* name, const char* help, auto read) {
+    metrics_.AddGauge(name, help, {},
+                      [read] { return static_cast<double>(read()); });
+  };
+  add("hibiscuspick_config_complete_to",
+      "Revision up to which the configuration is complete.",
+      [this] { return control_.CompleteTo().value; });
+  add("hibiscuspick_config_alarms",
+      "Configuration that went back or contradicts itself, since start.",
+      [this] { return control_.alarms(); });
+  add("hibiscuspick_platform_reachable",
+      "1 if the platform answered this instance's last watch.",
+      [this] { return platform_reachable_ ? 1 : 0; });
+  add("hibiscuspick_platform_watching",
+      "1 if this instance is one of its data centre's watchers.",
+      [this] { return watching_ ? 1 : 0; });
+  add("hibiscuspick_queries_running", "Queries now running here.",
+      [this] { return runner_.running(); });
+  add("hibiscuspick_parts_running", "Parts of other instances now running.",
+      [this] { return parts_.running(); });
+  add("hibiscuspick_inner_messages_sent", "Messages sent to instances.",
+      [this] { return mesh_.counts().messages_sent; });
+  add("hibiscuspick_inner_bytes_sent", "Bytes sent to instances.",
+      [this] { return mesh_.counts().bytes_sent; });
+  add("hibiscuspick_inner_bytes_received", "Bytes received from instances.",
+      [this] { return mesh_.counts().bytes_received; });
+  add("hibiscuspick_control_events_dropped",
+      "Control events dropped because the queue was full.",
+      [this] { return control_.dropped_events(); });
+}
+
+}  // namespace hibiscuspick::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon_ports.cc
@@ -0,0 +1,224 @@
+// How the parts of one instance reach each other.
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "daemon_impl.h"
+
+namespace hibiscuspick::daemon {
+
+ControlPorts Daemon::Impl::MakeControlPorts() {
+  ControlPorts ports;
+  ports.send = [this](const membership::Peer& peer,
+                      membership::GossipMessage message) {
+    mesh_.Send(peer, inner::ToMessage(std::move(message)));
+  };
+  ports.on_view = [this](const TrafficView& view) { TakeView(view); };
+  ports.on_server_news = [this](const membership::ServerNews& news) {
+    executor_.TakeServerNews(news.server, news.incarnation, news.draining);
+  };
+  ports.adopt_incarnation = [this](Incarnation it) {
+    mesh_.SetIncarnation(it);
+  };
+  ports.set_watching = [this](bool watching) {
+    watching_ = watching;
+    watch_->SetWatching(watching);
+  };
+  return ports;
+}
+
+routing::RunnerPorts Daemon::Impl::MakeRunnerPorts() {
+  routing::RunnerPorts ports;
+  ports.send_part = [this](const InstanceId& to,
+                           const limits::PartRequest& part) {
+    if (!mesh_.Send(to, inner::Message(part))) runner_.OnPeerFailed(to);
+  };
+  ports.run_local = [this](const limits::PartRequest& part) {
+    executor_.Run(part, [this, id = part.origin.part](auto outcomes) {
+      runner_.OnOutcomes(id, std::move(outcomes));
+    });
+  };
+  ports.cancel_part = [this](const InstanceId& at, PartId part) {
+    const limits::PartOrigin origin{settings_.instance, incarnation_, part};
+    if (at == settings_.instance) {
+      executor_.Cancel(origin);
+      return;
+    }
+    mesh_.Send(at, inner::Message(inner::PartCancel{origin}));
+  };
+  ports.candidates = [this](const ServiceId& service) {
+    return CandidatesOf(*control_.View(), service);
+  };
+  return ports;
+}
+
+inner::MeshCallbacks Daemon::Impl::MakeMeshCallbacks() {
+  inner::MeshCallbacks callbacks;
+  callbacks.on_message = [this](const InstanceId& from,
+                                inner::Message message) {
+    TakeMessage(from, std::move(message));
+  };
+  callbacks.on_peer_failed = [this](const InstanceId& peer) {
+    runner_.OnPeerFailed(peer);
+    control_.Post(membership::PeerFailed{peer});
+  };
+  return callbacks;
+}
+
+records::RecordPorts Daemon::Impl::MakeRecordPorts() {
+  records::RecordPorts ports;
+  ports.platform = calls_;
+  ports.dispatch = [this](const records::RecordRequest& request,
+                          Millis time_left) {
+    return DispatchRecord(request, time_left);
+  };
+  return ports;
+}
+
+front::CallersPorts Daemon::Impl::MakeCallersPorts() {
+  front::CallersPorts ports;
+  ports.find_route = [this](const RouteId& route, const CustomerId& customer) {
+    return FindRoute(*control_.View(), route, customer);
+  };
+  ports.run_query = [this](routing::QueryRequest request, Millis arrived,
+                           const std::function<routing::Plans()>& plans,
+                           const std::function<bool()>& stop) {
+    return runner_.Run(std::move(request), arrived, plans, stop);
+  };
+  ports.find_service = [this](const ServiceId& service, const ShardId& shard,
+                              const CustomerId& customer) {
+    return FindService(*control_.View(), service, shard, customer);
+  };
+  ports.run_record = [this](const records::RecordRequest& request,
+                            Millis arrived) {
+    return records_.Run(request, arrived);
+  };
+  ports.customer_rules = [this](const CustomerId& customer) {
+    return CustomerRulesOf(*control_.View(), customer);
+  };
+  ports.configuration_age = [this] { return Age(); };
+  ports.readiness = [this] { return Readiness(); };
+  return ports;
+}
+
+operators::Ports Daemon::Impl::MakeOperatorsPorts() {
+  operators::Ports ports;
+  ports.token = settings_.operator_token;
+  ports.data_centre = settings_.data_centre;
+  ports.make_write_id = operators::MakeWriteId;
+  ports.pause = operators::PauseBetweenTries;
+  ports.calls = calls_;
+  ports.configuration = [this] { return control_.View()->configuration; };
+  ports.status = [this] { return StatusJson(Facts()); };
+  ports.metrics = [this] {
+    return metrics_.PrometheusText() + GroupMetricsText(executor_.Metrics());
+  };
+  ports.on_accepted = [this](const settings::ConfigObject& object) {
+    settings::ConfigDelta delta;
+    delta.objects.push_back(object);
+    control_.PostAndWait(membership::AcceptedConfig{std::move(delta)});
+  };
+  ports.announce_drain = [this](const BackendServerId& server, bool draining) {
+    if (!draining) {
+      control_.PostAndWait(membership::LocalUndrain{server});
+      return;
+    }
+    const auto view = control_.View();
+    membership::ServerNews news;
+    const auto it = view->members->servers.find(server);
+    if (it != view->members->servers.end()) news = it->second;
+    news.server = server;
+    news.draining = true;
+    control_.PostAndWait(membership::LocalNews{news});
+  };
+  return ports;
+}
+
+void Daemon::Impl::TakeHeaderNews(const BackendServerId& server,
+                                  Incarnation incarnation, bool draining) {
+  membership::ServerNews news;
+  news.server = server;
+  news.incarnation = incarnation;
+  news.draining = draining;
+  const auto view = control_.View();
+  const auto it = view->members->servers.find(server);
+  const bool known = it != view->members->servers.end();
+  // That a server takes work is news only where it was known to drain: all
+  // servers do, and saying so of each would fill the table and the wire.
+  if (!known && !draining) return;
+  // A header can only add to what is known in the same round: an operator's
+  // word that the server takes work again stands until the next life.
+  if (known) {
+    news.round = it->second.round;
+    if (!membership::Replaces(news, it->second)) return;
+  }
+  control_.Post(membership::LocalNews{news});
+}
+
+void Daemon::Impl::TakeMessage(const InstanceId& from, inner::Message message) {
+  if (const auto* part = std::get_if<limits::PartRequest>(&message)) {
+    parts_.Run(*part);
+    return;
+  }
+  if (auto* outcomes = std::get_if<inner::PartOutcomes>(&message)) {
+    // Outcomes for a former life of this instance are nobody's.
+    if (outcomes->incarnation != incarnation_) return;
+    runner_.OnOutcomes(outcomes->part, std::move(outcomes->outcomes));
+    return;
+  }
+  if (const auto* cancel = std::get_if<inner::PartCancel>(&message)) {
+    parts_.Cancel(cancel->origin);
+    return;
+  }
+  if (auto* digest = std::get_if<membership::Digest>(&message)) {
+    control_.Post(membership::MessageFrom{from, std::move(*digest)});
+  } else if (auto* news = std::get_if<membership::News>(&message)) {
+    control_.Post(membership::MessageFrom{from, std::move(*news)});
+  } else if (auto* delta = std::get_if<settings::ConfigDelta>(&message)) {
+    control_.Post(membership::MessageFrom{from, std::move(*delta)});
+  }
+}
+
+void Daemon::Impl::TakeWatchAnswer(const Result<platform::WatchNews>& answer) {
+  const bool reachable = IsOk(answer);
+  if (platform_reachable_.exchange(reachable) != reachable) {
+    Log(Part::kPlatform)
+        .warn("The platform {}.", reachable ? "answers" : "does not answer");
+  }
+  if (!reachable) return;
+  const platform::WatchNews& news = ValueOf(answer);
+  control_.Post(membership::WatchedConfig{news.delta, news.known});
+}
+
+void Daemon::Impl::TakeView(const TrafficView& view) {
+  executor_.Apply(GroupConfigsOf(view));
+  records_.SetWindow(RecordWindowOf(view));
+  mesh_.SetPeers(membership::PeersOf(*view.members));
+  if (IsConfigured(view) && !serving_.exchange(true)) {
+    Log(Part::kDaemon)
+        .info("Serves configuration {}.",
+              view.configuration->complete_to.value);
+    control_.Post(membership::SelfPhase{membership::Phase::kServing});
+  }
+}
+
+records::DispatchResult Daemon::Impl::DispatchRecord(
+    const records::RecordRequest& request, Millis time_left) {
+  const auto view = control_.View();
+  const auto it = view->record_targets.find({request.service, request.shard});
+  if (it == view->record_targets.end()) {
+    return {Code::kNoServer, Ran::kNo, ""};
+  }
+  dispatch::RecordRequest record;
+  record.service = request.service;
+  record.shard = request.shard;
+  record.servers = it->second.servers;
+  record.version = it->second.version;
+  record.key = request.key;
+  record.record = request.record;
+  record.time_left = time_left;
+  const auto outcome = executor_.RunRecord(record);
+  return {outcome.code, outcome.ran, outcome.result};
+}
+
+}  // namespace hibiscuspick::daemon
--- a/packages/daemon/src/traffic_view.cc
+++ b/packages/daemon/src/traffic_view.cc
@@ -70,6 +70,12 @@
   return std::max(1, static_cast<int>(n));
 }
 
+bool HasServer(const settings::Service& service, const BackendServerId& id) {
+  return std::any_of(service.backend_servers.begin(),
+                     service.backend_servers.end(),
+                     [&](const auto& it) { return it.id == id; });
+}
+
 limits::GroupPolicy PolicyOf(const EffectiveSettings& values) {
   const bool lanes = FlagOf(values, Key::kLanesEnabled);
   const bool slots = FlagOf(values, Key::kSlotsEnabled);
@@ -248,9 +254,7 @@
         PolicyOf(settings::ResolveAll(view.configuration->settings, scope));
     group.drained.assign(drains.begin(), drains.end());
     std::erase_if(group.drained, [&](const BackendServerId& server) {
-      return std::none_of(service.backend_servers.begin(),
-                          service.backend_servers.end(),
-                          [&](const auto& it) { return it.id == server; });
+      return !HasServer(group.service, server);
     });
     ShareConnections(view, &group);
     groups.push_back(std::move(group));
--- a/packages/daemon/tests/test_fleet.h
+++ b/packages/daemon/tests/test_fleet.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/json.h"
--- a/packages/scenario/include/hibiscuspick/scenario/world.h
+++ b/packages/scenario/include/hibiscuspick/scenario/world.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/json.h"
@@ -54,9 +55,9 @@
 
   // Load.
   uint64_t Query(const std::string& instance, const std::string& route,
-                 Json options);
+                 const Json& options);
   void Load(const std::string& route, double per_second, Millis span,
-            Json options);
+            const Json& options);
 
   // Faults.
   void Cut(const std::string& from, const std::string& to, bool cut);
@@ -91,8 +92,9 @@
   void Break(const std::string& text);
   // Runs the action on the node unless it was replaced meanwhile; later, if it
   // is paused.
-  void OnNode(Node* node, uint64_t life, std::function<void()> action);
-  void LaterOnNode(Node* node, Millis when, std::function<void()> action);
+  void OnNode(Node* node, uint64_t life, const std::function<void()>& action);
+  void LaterOnNode(Node* node, Millis when,
+                   const std::function<void()>& action);
   bool Reaches(const std::string& from, const std::string& to) const {
     return Passes(network_, from, to);
   }
@@ -120,7 +122,7 @@
   void TakeOutcomes(Node* node, PartId part,
                     std::vector<limits::ShardOutcome> outcomes);
   void Deliver(Node* from, const InstanceId& to,
-               std::function<void(Node*)> action, bool tells_failure);
+               const std::function<void(Node*)>& action, bool tells_failure);
   void FinishQuery(uint64_t number, const routing::Answer& answer);
   void CheckAnswer(uint64_t number, const routing::Answer& answer);
 
--- a/packages/scenario/src/world.cc
+++ b/packages/scenario/src/world.cc
@@ -68,7 +68,8 @@
   broken_.push_back(trace_.back());
 }
 
-void World::OnNode(Node* node, uint64_t life, std::function<void()> action) {
+void World::OnNode(Node* node, uint64_t life,
+                   const std::function<void()>& action) {
   if (!node->alive || node->life != life) return;
   if (now() < node->paused_until) {
     schedule_.At(node->paused_until,
@@ -78,7 +79,8 @@
   action();
 }
 
-void World::LaterOnNode(Node* node, Millis when, std::function<void()> action) {
+void World::LaterOnNode(Node* node, Millis when,
+                        const std::function<void()>& action) {
   schedule_.At(when, [this, node, life = node->life, action] {
     OnNode(node, life, action);
   });
@@ -163,7 +165,7 @@
 }
 
 void World::Load(const std::string& route, double per_second, Millis span,
-                 Json options) {
+                 const Json& options) {
   // Fixed arrival times, so that slow answers don't thin out the load.
   const Millis gap(1000 / per_second);
   const auto n = static_cast<size_t>(span.count / gap.count);
--- a/packages/scenario/src/world_control.cc
+++ b/packages/scenario/src/world_control.cc
@@ -121,7 +121,8 @@
 }
 
 void World::Deliver(Node* from, const InstanceId& to,
-                    std::function<void(Node*)> action, bool tells_failure) {
+                    const std::function<void(Node*)>& action,
+                    bool tells_failure) {
   Node* receiver = FindNode(to.text);
   const std::string& here = from->data_centre.text;
   const std::string& there = receiver->data_centre.text;
--- a/packages/scenario/src/world_groups.cc
+++ b/packages/scenario/src/world_groups.cc
@@ -36,8 +36,9 @@
   for (const auto& config : daemon::GroupConfigsOf(*node->view)) {
     const ServiceId& service = config.service.id;
     const auto [it, is_new] = node->groups.try_emplace(service);
-    if (is_new)
+    if (is_new) {
       it->second.state.next_attempt = 1 + kAttemptsPerService * index++;
+    }
     GroupActions actions;
     limits::Configure(&it->second.state, config.service.backend_servers,
                       config.drained, config.policy, now(), &node->random,
@@ -133,7 +134,7 @@
     }
   }
   const auto answer = [this, node, service, id, here, there, delay,
-                       life = node->life](ServerReply reply) {
+                       life = node->life](const ServerReply& reply) {
     if (!Reaches(there, here)) return;
     schedule_.After(delay, [this, node, service, id, life, reply] {
       OnNode(node, life, [this, node, service, id, reply] {
--- a/packages/scenario/src/world_queries.cc
+++ b/packages/scenario/src/world_queries.cc
@@ -9,15 +9,8 @@
 #include "hibiscuspick/scenario/world.h"
 
 namespace hibiscuspick::scenario {
-namespace {
-
-// How late an answer may be: the machine acts at the deadline, not after it.
-constexpr Millis kLateness{0.001};
-
-}  // namespace
-
 uint64_t World::Query(const std::string& instance, const std::string& route,
-                      Json options) {
+                      const Json& options) {
   const uint64_t number = ++last_query_;
   QueryRecord& record = queries_[number];
   record.route = route;
--- a/packages/settings/src/settings_keys.cc
+++ b/packages/settings/src/settings_keys.cc
@@ -77,8 +77,8 @@
      "Interactive tasks that may wait for one service."},
     {kQueueLimitOrdinary, "queue_limit_ordinary", kInteger, 2048, 1, 100000,
      kPerService, kFree, "Ordinary tasks that may wait for one service."},
-    {kQueueLimitBulk, "queue_limit_bulk", kInteger, 4096, 1, 100000, kPerService,
-     kFree, "Bulk tasks that may wait for one service."},
+    {kQueueLimitBulk, "queue_limit_bulk", kInteger, 4096, 1, 100000,
+     kPerService, kFree, "Bulk tasks that may wait for one service."},
     {kCustomerRateLimit, "customer_rate_limit", kInteger, 0, 0, 1000000,
      kPerCustomer, kFree,
      "Requests a second that one customer may send to one instance; 0 for no "
