--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -40,7 +40,7 @@
       [this](auto list) {
         control_.Post(membership::PlatformList{std::move(list)});
       });
-  auto listens =
+  listens =
       operators_server_.Start(settings_.operators.ip, settings_.operators.port);
   if (!IsOk(listens)) return listens;
   listens = callers_server_.Start(settings_.callers.ip, settings_.callers.port);
