JSON log lines are JSON whatever the text; dead code goes

Before: the new test's text made a line that did not parse. After: it does. Conclusion: collectors can rely on the format.

--- a/packages/base/include/hibiscuspick/base/log.h
+++ b/packages/base/include/hibiscuspick/base/log.h
@@ -2,10 +2,12 @@
 // JSON lines.
 #pragma once
 
+#include <spdlog/formatter.h>
 #include <spdlog/spdlog.h>
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace hibiscuspick {
 
@@ -28,6 +30,11 @@
 
 enum class LogFormat { kText, kJson };
 
+// How lines are written; in JSON each line is a whole document, whatever the
+// text holds.
+std::unique_ptr<spdlog::formatter> MakeLogFormatter(
+    LogFormat format, const std::string& instance);
+
 // Sets up all loggers of the process, writing to standard error. `level` is one
 // of spdlog's names ("debug", "info", "warn", "error", "off"). Lines are
 // written by a background thread; when its queue overflows the oldest lines are
--- a/packages/base/src/log.cc
+++ b/packages/base/src/log.cc
@@ -1,12 +1,15 @@
 #include "hibiscuspick/base/log.h"
 
 #include <spdlog/async.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/null_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <array>
 #include <string_view>
 
+#include "hibiscuspick/base/json.h"
+
 namespace hibiscuspick {
 namespace {
 
@@ -33,12 +36,30 @@
   return loggers;
 }
 
+// Writes the text as a JSON string. Texts hold names and messages from outside,
+// quotes among them; written plainly, one would break the line for every
+// collector that reads it.
+class JsonText : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, const std::tm&,
+              spdlog::memory_buf_t& out) override {
+    const std::string_view text(message.payload.data(), message.payload.size());
+    const std::string quoted = DumpJson(Json(text));
+    out.append(quoted.data(), quoted.data() + quoted.size());
+  }
+  std::unique_ptr<spdlog::custom_flag_formatter> clone() const override {
+    return std::make_unique<JsonText>();
+  }
+};
+
+constexpr char kJsonTextFlag = '*';
+
 std::string PatternOf(LogFormat format, const std::string& instance) {
   if (format == LogFormat::kText) {
     return "%Y-%m-%dT%H:%M:%S.%eZ " + instance + " %l %n: %v";
   }
   return R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","instance":")" + instance +
-         R"(","level":"%l","part":"%n","text":"%v"})";
+         R"(","level":"%l","part":"%n","text":%*})";
 }
 
 }  // namespace
@@ -47,6 +68,15 @@
   return kNames[static_cast<size_t>(part)];
 }
 
+std::unique_ptr<spdlog::formatter> MakeLogFormatter(
+    LogFormat format, const std::string& instance) {
+  auto formatter = std::make_unique<spdlog::pattern_formatter>(
+      spdlog::pattern_time_type::utc);
+  formatter->add_flag<JsonText>(kJsonTextFlag);
+  formatter->set_pattern(PatternOf(format, instance));
+  return formatter;
+}
+
 void StartLogs(LogFormat format, const std::string& level,
                const std::string& instance) {
   spdlog::init_thread_pool(kQueueLines, 1);
@@ -55,8 +85,7 @@
     auto logger = std::make_shared<spdlog::async_logger>(
         std::string(kNames[i]), sink, spdlog::thread_pool(),
         spdlog::async_overflow_policy::overrun_oldest);
-    logger->set_pattern(PatternOf(format, instance),
-                        spdlog::pattern_time_type::utc);
+    logger->set_formatter(MakeLogFormatter(format, instance));
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::warn);
     AllLoggers()[i] = std::move(logger);
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -1,3 +1,5 @@
+#include <spdlog/pattern_formatter.h>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <set>
@@ -7,6 +9,7 @@
 #include "hibiscuspick/base/code.h"
 #include "hibiscuspick/base/json.h"
 #include "hibiscuspick/base/lane.h"
+#include "hibiscuspick/base/log.h"
 
 namespace data = boost::unit_test::data;
 using hibiscuspick::CodeTable;
@@ -85,3 +88,21 @@
   }
   BOOST_TEST(!hibiscuspick::ParseLane("Urgent").has_value());
 }
+
+// A message quotes what a caller sent. If it went into a JSON line as it is, a
+// log collector would drop the line, or read fields the caller made up.
+BOOST_AUTO_TEST_CASE(a_json_log_line_is_json_whatever_the_text) {
+  const auto formatter =
+      hibiscuspick::MakeLogFormatter(hibiscuspick::LogFormat::kJson, "osl-1-a");
+  const std::string text = "a \"quote\", a \\ and a\nnew line \xff";
+  const spdlog::details::log_msg message("route", spdlog::level::info, text);
+  spdlog::memory_buf_t out;
+  formatter->format(message, out);
+  const auto line = ParseJson(std::string(out.data(), out.size()));
+  BOOST_TEST_REQUIRE(IsOk(line));
+  const auto& json = hibiscuspick::ValueOf(line);
+  BOOST_TEST(json["part"] == "route");
+  BOOST_TEST(json["instance"] == "osl-1-a");
+  BOOST_TEST(json["text"].get<std::string>().find("\"quote\"") !=
+             std::string::npos);
+}
--- a/packages/limits/include/hibiscuspick/limits/group.h
+++ b/packages/limits/include/hibiscuspick/limits/group.h
@@ -240,12 +240,6 @@
 void CancelTasks(GroupState* state, const std::vector<TaskId>& tasks,
                  Millis now, Random* random, Actions* actions);
 
-// As CancelTasks, for one.
-inline void CancelTask(GroupState* state, TaskId task, Millis now,
-                       Random* random, Actions* actions) {
-  CancelTasks(state, {task}, now, random, actions);
-}
-
 // News of a server from a peer, the platform or a reply.
 void TakeServerNews(GroupState* state, const BackendServerId& server,
                     Incarnation incarnation, bool draining, Millis now,
--- a/packages/settings/include/hibiscuspick/settings/configuration.h
+++ b/packages/settings/include/hibiscuspick/settings/configuration.h
@@ -66,15 +66,4 @@
                                              const SnapshotName& name,
                                              IndexVersion version);
 
-// How old the instance's knowledge may be: when it last was confirmed as the
-// newest, by the platform itself or by an instance that watches it.
-struct Freshness {
-  // WallNow() at the confirmation, 0 before the first.
-  Millis confirmed_wall;
-  bool platform_reachable = false;
-};
-
-// The age to state in answers; never negative, also if the clock was set back.
-Millis AgeOf(const Freshness& freshness, Millis wall_now);
-
 }  // namespace hibiscuspick::settings
--- a/packages/settings/src/configuration.cc
+++ b/packages/settings/src/configuration.cc
@@ -180,8 +180,4 @@
   return nullptr;
 }
 
-Millis AgeOf(const Freshness& freshness, Millis wall_now) {
-  return Max(Millis(0), wall_now - freshness.confirmed_wall);
-}
-
 }  // namespace hibiscuspick::settings
--- a/packages/settings/tests/configuration_test.cc
+++ b/packages/settings/tests/configuration_test.cc
@@ -219,8 +219,3 @@
   BOOST_TEST(envelope->writes.front().version.value == 3);
   BOOST_TEST(envelope->writes.back().version.value == 0);
 }
-
-BOOST_AUTO_TEST_CASE(an_age_is_never_negative) {
-  BOOST_TEST(hps::AgeOf({hp::Millis(100), true}, hp::Millis(350)).count == 250);
-  BOOST_TEST(hps::AgeOf({hp::Millis(100), true}, hp::Millis(50)).count == 0);
-}
