One decision for what a reply adds to the news of a server

Cause: the daemon and the scenario world each had the rule by which a reply's drain header becomes news; the scenarios proved a copy. Change: membership::NewsOfReply, called by both. A daemon's view is now read once through it; nothing else differs. Conclusion: the scenarios of drains now go through the product's own code.

--- a/packages/daemon/src/daemon_ports.cc
+++ b/packages/daemon/src/daemon_ports.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon_impl.h"
+#include "hibiscuspick/membership/reply_news.h"
 
 namespace hibiscuspick::daemon {
 
@@ -136,23 +137,9 @@
 
 void Daemon::Impl::TakeHeaderNews(const BackendServerId& server,
                                   Incarnation incarnation, bool draining) {
-  membership::ServerNews news;
-  news.server = server;
-  news.incarnation = incarnation;
-  news.draining = draining;
-  const auto view = control_.View();
-  const auto it = view->members->servers.find(server);
-  const bool known = it != view->members->servers.end();
-  // That a server takes work is news only where it was known to drain: all
-  // servers do, and saying so of each would fill the table and the wire.
-  if (!known && !draining) return;
-  // A header can only add to what is known in the same round: an operator's
-  // word that the server takes work again stands until the next life.
-  if (known) {
-    news.round = it->second.round;
-    if (!membership::Replaces(news, it->second)) return;
-  }
-  control_.Post(membership::LocalNews{news});
+  const auto news = membership::NewsOfReply(control_.View()->members->servers,
+                                            server, incarnation, draining);
+  if (news) control_.Post(membership::LocalNews{*news});
 }
 
 void Daemon::Impl::TakeMessage(const InstanceId& from, inner::Message message) {
--- a/packages/scenario/src/world_groups.cc
+++ b/packages/scenario/src/world_groups.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hibiscuspick/base/hash.h"
+#include "hibiscuspick/membership/reply_news.h"
 #include "hibiscuspick/scenario/world.h"
 
 namespace hibiscuspick::scenario {
@@ -181,21 +182,14 @@
 
 void World::TakeDrainNews(Node* node, const BackendServerId& server,
                           const ServerReply& reply) {
-  const auto known = node->members->servers.find(server);
-  const bool is_known = known != node->members->servers.end();
-  if (!is_known && !reply.draining) return;
+  // A reply that never came names no life.
   if (reply.incarnation == Incarnation()) return;
-  membership::ServerNews news;
-  news.server = server;
-  news.incarnation = reply.incarnation;
-  news.draining = reply.draining;
-  if (is_known) {
-    news.round = known->second.round;
-    if (!membership::Replaces(news, known->second)) return;
-  }
+  const auto news = membership::NewsOfReply(node->members->servers, server,
+                                            reply.incarnation, reply.draining);
+  if (!news) return;
   Note(fmt::format("{} hears that {} {}", node->id.text, server.text,
                    reply.draining ? "drains" : "takes work"));
-  StepControl(node, membership::LocalNews{news});
+  StepControl(node, membership::LocalNews{*news});
 }
 
 void World::CancelAttempt(Node* node, const ServiceId& service,
