--- a/cmake/HibiscusPackage.cmake
+++ b/cmake/HibiscusPackage.cmake
@@ -1,7 +1,12 @@
-# Warnings are errors everywhere but in generated code.
+# Warnings are errors everywhere but in generated code, and in what is shipped:
+# there an installation's compiler may warn of what ours doesn't, and g++ 12 at
+# -O3 warns of a copy in the standard library's own string (-Wrestrict).
 add_library(hp_warnings INTERFACE)
-target_compile_options(hp_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow
-                                             -Wconversion -Wold-style-cast -Werror)
+if(NOT HIBISCUSPICK_SHIPPED)
+  target_compile_options(hp_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow
+                                               -Wconversion -Wold-style-cast
+                                               -Werror)
+endif()
 
 # hp_package(NAME DEPENDS targets...): a static library hp_NAME from src/*.cc
 # with the public headers of include/, and one test program from tests/*.cc.
@@ -29,6 +34,12 @@
   if(NOT tests)
     return()
   endif()
+  if(HIBISCUSPICK_SHIPPED)
+    # Never built; only there for the packages' settings of it.
+    add_library(${name}_tests OBJECT EXCLUDE_FROM_ALL
+                ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
+    return()
+  endif()
   add_executable(${name}_tests ${tests}
                  ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
   target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK)
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -13,9 +13,11 @@
 #include <string>
 #include <thread>
 
+#include "hibiscuspick/adapter/edge_daemon.h"
 #include "hibiscuspick/base/log.h"
 #include "hibiscuspick/daemon/daemon.h"
 #include "hibiscuspick/settings/daemon_settings.h"
+#include "hibiscuspick/settings/edge_settings.h"
 
 namespace {
 
@@ -41,14 +43,10 @@
 }
 
 // The settings, or nothing after all faults were printed.
-std::optional<DaemonSettings> ReadSettings(const std::string& path) {
-  const auto text = ReadFile(path);
-  if (!text) {
-    std::cerr << path << ": can't be read\n";
-    return std::nullopt;
-  }
-  const auto checked =
-      hibiscuspick::settings::ReadDaemonSettings(*text, Environment);
+template <class T>
+std::optional<T> GoodOrPrint(
+    const std::string& path,
+    const hibiscuspick::settings::Checked<T>& checked) {
   if (hibiscuspick::settings::IsGood(checked)) {
     return hibiscuspick::settings::GoodOf(checked);
   }
@@ -105,6 +103,26 @@
   return EXIT_SUCCESS;
 }
 
+int SayGood(const std::string& path) {
+  std::cout << path << ": good\n";
+  return EXIT_SUCCESS;
+}
+
+int RunDaemon(const std::string& path, const std::string& text, bool check) {
+  const auto settings = GoodOrPrint(
+      path, hibiscuspick::settings::ReadDaemonSettings(text, Environment));
+  if (!settings) return kExitBadSettings;
+  return check ? SayGood(path) : Serve(*settings);
+}
+
+int RunEdge(const std::string& path, const std::string& text, bool check) {
+  const auto settings =
+      GoodOrPrint(path, hibiscuspick::settings::ReadEdgeSettings(text));
+  if (!settings) return kExitBadSettings;
+  return check ? SayGood(path)
+               : hibiscuspick::adapter::ServeEdge(*settings, path);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -117,11 +135,13 @@
       cmd);
   TCLAP::SwitchArg check("c", "check", "Only checks the settings file.", cmd);
   cmd.parse(argc, argv);
-  const auto settings = ReadSettings(settings_path.getValue());
-  if (!settings) return kExitBadSettings;
-  if (check.getValue()) {
-    std::cout << settings_path.getValue() << ": good\n";
-    return EXIT_SUCCESS;
+  const std::string& path = settings_path.getValue();
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": can't be read\n";
+    return kExitBadSettings;
   }
-  return Serve(*settings);
+  return hibiscuspick::settings::IsEdgeSettings(*text)
+             ? RunEdge(path, *text, check.getValue())
+             : RunDaemon(path, *text, check.getValue());
 }
--- /dev/null
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -0,0 +1,148 @@
+// The backend servers' connections and the attempts on them. One thread's.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/edge/http_channel.h"
+#include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/engine/extra_budget.h"
+#include "hibiscuspick/engine/server_belief.h"
+
+namespace hibiscuspick::edge {
+
+enum class AttemptEnd {
+  // A whole reply to this request.
+  kReply,
+  // No byte was sent: no connection could be had.
+  kNotSent,
+  // Sent, and broke off or was answered with what is no reply.
+  kBroken,
+};
+
+struct AttemptResult {
+  AttemptId id;
+  BackendServerId server;
+  AttemptEnd end = AttemptEnd::kNotSent;
+  HttpReply reply;
+  // From the moment it was sent.
+  Millis latency;
+};
+
+struct AttemptOrder {
+  ServiceId service;
+  // What an attempt of this route usually takes, and after what time a server's
+  // silence is a reason for suspicion.
+  Millis usual;
+  Millis overdue_after;
+  // Servers that must not get it.
+  std::vector<BackendServerId> excluded;
+  // Only a server that isn't suspected of standing still.
+  bool only_unsuspected = false;
+  // The request as it is sent to that server.
+  std::function<std::string(const BackendServerId&)> text_for;
+  bool to_head = false;
+  // May not be sent where it is unsure that it arrives.
+  bool once = false;
+  HttpChannel::IsOurs is_ours;
+  std::function<void(AttemptResult)> on_end;
+};
+
+struct BackendsPolicy {
+  engine::ChoicePolicy choice;
+  engine::ExtraLimits extra;
+  // Instances that share the servers' connections.
+  int instances = 8;
+  Millis connect_timeout{300};
+  // How often a server that can't be reached is tried again.
+  Millis probe_interval{300};
+  size_t reply_bytes = 8 << 20;
+};
+
+// An attempt on its way.
+struct StartedAttempt {
+  AttemptId id;
+  BackendServerId server;
+};
+
+struct Waiting {
+  int priority = 0;
+  Millis due;
+  // Tries to start; true if it did or no longer wants to.
+  std::function<bool()> start;
+};
+
+class Backends {
+ public:
+  using WaitKey = std::pair<std::pair<int, double>, uint64_t>;
+
+  Backends(Loop* loop, BackendsPolicy policy);
+  ~Backends();
+
+  void SetServers(const std::vector<engine::ServerEntry>& entries);
+  void SetMaxConnections(const ServiceId& service, int connections);
+
+  // Starts an attempt at the best server; nothing if none takes one now.
+  std::optional<StartedAttempt> TryStart(AttemptOrder order);
+
+  // Nobody wants the result any more: no call follows. `stop_server`: the
+  // server must not go on with it; otherwise it may end within a short time,
+  // which keeps the connection.
+  void Abandon(AttemptId id, bool stop_server);
+
+  // Waits for room at the service's servers, in order of priority and due
+  // instant.
+  WaitKey Enqueue(const ServiceId& service, Waiting waiting);
+  void Withdraw(const ServiceId& service, const WaitKey& key);
+
+  engine::ExtraBudget& extra(const ServiceId& service);
+  const BackendsPolicy& policy() const { return policy_; }
+  // Attempts with a server, and parts waiting for one.
+  size_t open_attempts() const { return attempts_.size(); }
+  // Whether the service has any server that isn't leaving or gone.
+  bool HasServer(const ServiceId& service) const;
+
+  // A server said that its address is now another's.
+  void NoteForeign(const BackendServerId& id);
+  void NoteFailure(const BackendServerId& id, AttemptId attempt);
+  void NoteReply(const BackendServerId& id, AttemptId attempt, Millis latency,
+                 Millis usual);
+
+ private:
+  struct Server;
+  struct ServiceState;
+  struct Attempt;
+
+  ServiceState& StateOf(const ServiceId& service);
+  Server* Choose(const AttemptOrder& order);
+  std::shared_ptr<HttpChannel> TakeIdle(Server* server, bool once);
+  void OpenFor(const std::shared_ptr<Server>& server, AttemptId id);
+  void SendOn(const std::shared_ptr<HttpChannel>& channel, AttemptId id);
+  void OnReply(AttemptId id, ExchangeEnd end, HttpReply reply);
+  void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply);
+  void KeepChannel(const std::shared_ptr<Server>& server,
+                   const std::shared_ptr<HttpChannel>& channel);
+  void Probe(const std::shared_ptr<Server>& server);
+  void DoubtSilent(const std::shared_ptr<Server>& server, Millis since);
+  void Retire(const std::shared_ptr<Server>& server);
+  void Forget(const std::shared_ptr<Server>& server);
+  void PumpSoon(const ServiceId& service);
+  void Pump(ServiceState* state);
+
+  Loop* const loop_;
+  const BackendsPolicy policy_;
+  std::unordered_map<BackendServerId, std::shared_ptr<Server>> servers_;
+  std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> services_;
+  std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
+  uint64_t last_attempt_ = 0;
+  uint64_t last_wait_ = 0;
+};
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -0,0 +1,136 @@
+// One request of a caller, from its arrival to its answer: its parts, their
+// attempts, hedges and retries, and its clocks.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hibiscuspick/edge/backends.h"
+#include "hibiscuspick/edge/http_message.h"
+#include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/wire_names.h"
+#include "hibiscuspick/engine/gather.h"
+#include "hibiscuspick/engine/route_pace.h"
+#include "hibiscuspick/engine/traffic_config.h"
+
+namespace hibiscuspick::edge {
+
+// What a request needs of the instance; outlives it.
+struct QueryContext {
+  Loop* loop = nullptr;
+  Backends* backends = nullptr;
+  const WireNames* names = nullptr;
+  // Taken off the caller's target: the way to the caller and back, and what
+  // this instance needs to send the answer.
+  Millis answer_margin{9};
+  // Taken off the caller's deadline, for the same reason.
+  Millis end_margin{12};
+};
+
+// Why a request got no success.
+enum class QueryFault {
+  kNone,
+  // No server took it: it has not run.
+  kNoServer,
+  // Waited in vain for room: it has not run.
+  kNoRoom,
+  // Servers failed it; it may have run.
+  kServersFailed,
+  // The caller's time, or the route's, is up.
+  kTimeUp,
+  // The instance stops; it may have run.
+  kStopping,
+};
+std::string_view FaultName(QueryFault fault);
+
+struct QueryOutcome {
+  HttpReply reply;
+  QueryFault fault = QueryFault::kNone;
+  size_t shards = 0;
+  size_t shards_in = 0;
+  size_t extras = 0;
+  bool ran = false;
+  Millis took;
+};
+
+class QueryRun : public std::enable_shared_from_this<QueryRun> {
+ public:
+  using OnDone = std::function<void(const QueryOutcome&)>;
+
+  QueryRun(const QueryContext* context,
+           std::shared_ptr<const engine::TrafficConfig> config,
+           const engine::Route* route, engine::RoutePace* pace,
+           HttpRequest request);
+
+  // Starts the parts. `services`: the shards, or the one service of a plain
+  // request. `on_done` is called once unless the caller leaves.
+  void Start(const std::vector<ServiceId>& services, OnDone on_done);
+
+  // The caller has left: what runs for it is stopped.
+  void Cancel();
+  // The instance stops: answers with what is here.
+  void GiveUp();
+
+ private:
+  struct OpenTry {
+    AttemptId id;
+    BackendServerId server;
+    Millis since;
+  };
+  struct Part {
+    ServiceId service;
+    std::vector<OpenTry> open;
+    // Servers it may have run on.
+    std::vector<BackendServerId> ran_on;
+    int refusals = 0;
+    std::optional<Backends::WaitKey> waiting;
+    bool in = false;
+    bool failed = false;
+    HttpReply reply;
+    // The last answer of a server that was no success.
+    std::optional<HttpReply> failure;
+  };
+
+  void ReadClocks();
+  void StartPart(size_t i);
+  bool TryPart(size_t i, bool extra, bool only_unsuspected);
+  AttemptOrder OrderFor(size_t i);
+  std::string TextFor(const BackendServerId& server) const;
+  bool IsOurs(const HttpReply& reply) const;
+  void OnAttempt(size_t i, AttemptResult result);
+  bool IsGood(const HttpReply& reply) const;
+  void OnFailed(size_t i, const AttemptResult& result);
+  void RetryPart(size_t i, bool ran);
+  void HedgeParts();
+  Millis NextHedge() const;
+  void Check();
+  void ArmTimer();
+  void Answer();
+  HttpReply GatherReply() const;
+  HttpReply OwnReply(int status, QueryFault fault) const;
+  void Fail(QueryFault fault);
+  void Finish(HttpReply reply, QueryFault fault);
+  void StopParts(bool caller_left);
+  bool MayHaveRun() const;
+  engine::GatherProgress Progress() const;
+
+  const QueryContext* const context_;
+  const std::shared_ptr<const engine::TrafficConfig> config_;
+  const engine::Route* const route_;
+  engine::RoutePace* const pace_;
+  HttpRequest request_;
+  std::string request_id_;
+  std::vector<Header> forwarded_;
+  OnDone on_done_;
+  std::vector<Part> parts_;
+  engine::GatherClocks clocks_;
+  Millis began_;
+  Loop::TimerId timer_ = 0;
+  size_t extras_ = 0;
+  bool done_ = false;
+};
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -0,0 +1,86 @@
+// The traffic thread's whole: callers' requests in, readiness, and the view of
+// configuration and servers that requests are served by.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "hibiscuspick/base/address.h"
+#include "hibiscuspick/base/result.h"
+#include "hibiscuspick/edge/backends.h"
+#include "hibiscuspick/edge/http_session.h"
+#include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/edge/wire_names.h"
+#include "hibiscuspick/engine/route_pace.h"
+#include "hibiscuspick/engine/traffic_config.h"
+
+namespace hibiscuspick::edge {
+
+struct TrafficSettings {
+  Address callers;
+  // Where the balancer asks whether this instance is ready, and the path.
+  Address readiness;
+  std::string readiness_path;
+  WireNames names;
+  BackendsPolicy backends;
+  Millis answer_margin{9};
+  Millis end_margin{12};
+  // A planned stop: until `stop_refuse` new requests are served as ever, since
+  // the balancer still sends them; by `stop_answer` every request has its
+  // answer; at `stop_end` the process ends.
+  Millis stop_refuse{3000};
+  Millis stop_answer{5300};
+  Millis stop_end{5600};
+};
+
+class TrafficServer {
+ public:
+  TrafficServer(Loop* loop, TrafficSettings settings);
+
+  Result<Done> Listen();
+
+  // The view in force from now on; from the loop's thread. A configuration
+  // with a lower version than the one held is passed over.
+  void SetConfig(std::shared_ptr<const engine::TrafficConfig> config);
+  void SetServers(const std::vector<engine::ServerEntry>& entries);
+
+  // Not ready from now on; `done` is called when nothing is in hand any more
+  // or the time is up.
+  void Stop(std::function<void()> done);
+
+ private:
+  SessionPolicy CallersPolicy();
+  SessionPolicy ReadinessPolicy();
+  bool IsReady() const { return config_ && has_servers_ && !stopping_; }
+  void OnRequest(const std::shared_ptr<HttpSession>& session,
+                 HttpRequest request);
+  std::vector<ServiceId> ServicesFor(const engine::Route& route);
+  engine::RoutePace* PaceOf(const engine::Route& route);
+  void Refuse(HttpSession* session, const HttpRequest& request, int status,
+              std::string_view why);
+  void LogOutcome(const std::string& request_id, const RouteId& route,
+                  uint64_t version, const QueryOutcome& outcome);
+  void StopStep(const std::function<void()>& done);
+
+  Loop* const loop_;
+  const TrafficSettings settings_;
+  Backends backends_;
+  QueryContext context_;
+  HttpListener callers_;
+  HttpListener readiness_;
+  std::shared_ptr<const engine::TrafficConfig> config_;
+  bool has_servers_ = false;
+  bool stopping_ = false;
+  Millis stop_began_;
+  std::map<RouteId, std::unique_ptr<engine::RoutePace>> paces_;
+  std::map<RouteId, engine::SplitState> splits_;
+  std::unordered_set<std::shared_ptr<QueryRun>> running_;
+};
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/backends.cc
@@ -0,0 +1,320 @@
+#include "hibiscuspick/edge/backends.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "backends_impl.h"
+#include "hibiscuspick/base/log.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+// An attempt that nobody waits for may end by itself within this; past it the
+// connection is given up for the slot behind it.
+constexpr Millis kAbandonedTime{350};
+
+// A server that is silent for longer than the longest usual pause is doubted.
+constexpr Millis kSilence{400};
+
+// A waiting part is looked at this often while its servers are avoided.
+constexpr Millis kPumpInterval{10};
+
+}  // namespace
+
+Backends::Backends(Loop* loop, BackendsPolicy policy)
+    : loop_(loop), policy_(std::move(policy)) {}
+Backends::~Backends() = default;
+
+Backends::ServiceState& Backends::StateOf(const ServiceId& service) {
+  auto& state = services_[service];
+  if (!state) {
+    state = std::make_unique<ServiceState>();
+    state->id = service;
+  }
+  return *state;
+}
+
+engine::ExtraBudget& Backends::extra(const ServiceId& service) {
+  return StateOf(service).extra;
+}
+
+void Backends::SetMaxConnections(const ServiceId& service, int connections) {
+  StateOf(service).max_channels =
+      std::max(1, connections / std::max(1, policy_.instances));
+}
+
+bool Backends::HasServer(const ServiceId& service) const {
+  const auto state = services_.find(service);
+  if (state == services_.end()) return false;
+  return std::any_of(
+      state->second->servers.begin(), state->second->servers.end(),
+      [](auto& it) { return !it->belief.draining && !it->belief.removed; });
+}
+
+Backends::Server* Backends::Choose(const AttemptOrder& order) {
+  auto& state = StateOf(order.service);
+  const Millis now = loop_->now();
+  auto choice = policy_.choice;
+  choice.most_open = std::min(choice.most_open, state.max_channels);
+  std::vector<const engine::ServerBelief*> beliefs;
+  std::vector<Server*> servers;
+  const size_t n = state.servers.size();
+  ++state.turn;
+  for (size_t i = 0; i < n; ++i) {
+    Server* server = state.servers[(i + state.turn) % n].get();
+    const auto& belief = server->belief;
+    if (order.only_unsuspected && engine::IsSuspected(belief, now)) continue;
+    if (std::find(order.excluded.begin(), order.excluded.end(),
+                  belief.entry.id) != order.excluded.end()) {
+      continue;
+    }
+    beliefs.push_back(&belief);
+    servers.push_back(server);
+  }
+  const auto best = engine::ChooseServer(beliefs, choice, order.usual, now);
+  return best ? servers[*best] : nullptr;
+}
+
+std::optional<StartedAttempt> Backends::TryStart(AttemptOrder order) {
+  Server* chosen = Choose(order);
+  if (chosen == nullptr) return std::nullopt;
+  const auto server = chosen->shared_from_this();
+  const AttemptId id(++last_attempt_);
+  engine::NoteSent(&server->belief,
+                   {id, loop_->now(), loop_->now() + order.overdue_after});
+  auto attempt = std::make_unique<Attempt>();
+  attempt->server = server;
+  attempt->order = std::move(order);
+  attempt->sent = loop_->now();
+  const bool once = attempt->order.once;
+  attempts_.emplace(id, std::move(attempt));
+  if (const auto channel = TakeIdle(server.get(), once)) {
+    SendOn(channel, id);
+  } else {
+    OpenFor(server, id);
+  }
+  return StartedAttempt{id, server->belief.entry.id};
+}
+
+// The connection used last, since it is the likeliest to be alive.
+std::shared_ptr<HttpChannel> Backends::TakeIdle(Server* server, bool once) {
+  auto& idle = server->idle;
+  while (!idle.empty()) {
+    const auto channel = idle.back();
+    idle.pop_back();
+    if (!channel->IsIdle()) continue;
+    const Millis age = loop_->now() - channel->idle_since();
+    const Millis bound =
+        once ? server->idle_timeout * 0.5 : server->idle_timeout * 0.9;
+    if (age < bound) return channel;
+    channel->Close();
+  }
+  return nullptr;
+}
+
+void Backends::OpenFor(const std::shared_ptr<Server>& server, AttemptId id) {
+  auto channel = std::make_shared<HttpChannel>(loop_);
+  attempts_.at(id)->channel = channel;
+  channel->Connect(server->belief.entry.address, policy_.connect_timeout,
+                   [this, server, channel, id](bool ok) {
+                     const bool wanted = attempts_.contains(id);
+                     if (!ok) {
+                       if (!wanted) return;
+                       Probe(server);
+                       EndAttempt(id, AttemptEnd::kNotSent, {});
+                       return;
+                     }
+                     if (wanted) {
+                       attempts_.at(id)->sent = loop_->now();
+                       SendOn(channel, id);
+                     } else {
+                       KeepChannel(server, channel);
+                     }
+                   });
+}
+
+void Backends::SendOn(const std::shared_ptr<HttpChannel>& channel,
+                      AttemptId id) {
+  auto& attempt = *attempts_.at(id);
+  attempt.channel = channel;
+  attempt.was_sent = true;
+  HttpChannel::Exchange exchange;
+  exchange.text = attempt.order.text_for(attempt.server->belief.entry.id);
+  exchange.to_head = attempt.order.to_head;
+  exchange.reply_bytes = policy_.reply_bytes;
+  exchange.is_ours = attempt.order.is_ours;
+  exchange.on_reply = [this, id](ExchangeEnd end, HttpReply reply) {
+    OnReply(id, end, std::move(reply));
+  };
+  channel->Send(std::move(exchange));
+}
+
+void Backends::OnReply(AttemptId id, ExchangeEnd end, HttpReply reply) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const auto server = found->second->server;
+  const auto channel = found->second->channel;
+  server->heard = loop_->now();
+  if (end == ExchangeEnd::kReply) {
+    NoteIdleTimeout(reply, &server->idle_timeout);
+    if (channel->IsIdle()) KeepChannel(server, channel);
+    EndAttempt(id, AttemptEnd::kReply, std::move(reply));
+  } else {
+    EndAttempt(id, AttemptEnd::kBroken, {});
+  }
+}
+
+void Backends::EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const auto attempt = std::move(found->second);
+  attempts_.erase(found);
+  const auto server = attempt->server;
+  AttemptResult result;
+  result.id = id;
+  result.server = server->belief.entry.id;
+  result.end = end;
+  result.reply = std::move(reply);
+  result.latency = loop_->now() - attempt->sent;
+  if (attempt->order.on_end) {
+    attempt->order.on_end(std::move(result));
+  }
+  // Whoever got the result has noted it; what is left over is forgotten.
+  engine::NoteEnded(&server->belief, id);
+  Forget(server);
+  PumpSoon(server->belief.entry.service);
+}
+
+void Backends::Abandon(AttemptId id, bool stop_server) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  auto& attempt = *found->second;
+  attempt.order.on_end = nullptr;
+  if (!stop_server) {
+    // Its reply is still worth hearing: it tells the server's speed.
+    attempt.order.on_end =
+        [this, usual = attempt.order.usual](const AttemptResult& it) {
+          if (it.end == AttemptEnd::kReply) {
+            NoteReply(it.server, it.id, it.latency, usual);
+          }
+        };
+    loop_->At(loop_->now() + kAbandonedTime, [this, id] { Abandon(id, true); });
+    return;
+  }
+  if (attempt.channel && attempt.was_sent) attempt.channel->Close();
+  DoubtSilent(attempt.server, attempt.sent);
+  EndAttempt(id, AttemptEnd::kBroken, {});
+}
+
+// A server that has said nothing to anyone since an attempt that is given up
+// may be gone without a word: its connections would swallow one request each.
+// They are dropped, and a new connection tells whether it is there.
+void Backends::DoubtSilent(const std::shared_ptr<Server>& server,
+                           Millis since) {
+  if (server->heard > since || loop_->now() - since < kSilence) return;
+  Retire(server);
+  Probe(server);
+}
+
+void Backends::KeepChannel(const std::shared_ptr<Server>& server,
+                           const std::shared_ptr<HttpChannel>& channel) {
+  if (server->belief.removed || server->belief.draining) {
+    channel->Close();
+    return;
+  }
+  server->belief.unreachable = false;
+  std::erase_if(server->idle, [](auto& it) { return !it->IsIdle(); });
+  server->idle.push_back(channel);
+}
+
+// A server that can't be connected to is asked by connections alone, so that
+// no request has to wait to find out that it is back.
+void Backends::Probe(const std::shared_ptr<Server>& server) {
+  if (server->probing || server->belief.removed) return;
+  if (!server->belief.unreachable) {
+    Log(Part::kBackend)
+        .info("server {} of {} can't be reached", server->belief.entry.id.text,
+              server->belief.entry.service.text);
+  }
+  server->belief.unreachable = true;
+  server->probing = true;
+  loop_->At(loop_->now() + policy_.probe_interval, [this, server] {
+    if (server->belief.removed) return;
+    auto channel = std::make_shared<HttpChannel>(loop_);
+    channel->Connect(server->belief.entry.address, policy_.connect_timeout,
+                     [this, server, channel](bool ok) {
+                       server->probing = false;
+                       if (!ok) {
+                         Probe(server);
+                         return;
+                       }
+                       Log(Part::kBackend)
+                           .info("server {} is back",
+                                 server->belief.entry.id.text);
+                       KeepChannel(server, channel);
+                       PumpSoon(server->belief.entry.service);
+                     });
+  });
+}
+
+Backends::WaitKey Backends::Enqueue(const ServiceId& service, Waiting waiting) {
+  const WaitKey key{{waiting.priority, waiting.due.count}, ++last_wait_};
+  StateOf(service).waiting.emplace(key, std::move(waiting));
+  PumpSoon(service);
+  return key;
+}
+
+void Backends::Withdraw(const ServiceId& service, const WaitKey& key) {
+  StateOf(service).waiting.erase(key);
+}
+
+void Backends::PumpSoon(const ServiceId& service) {
+  auto& state = StateOf(service);
+  if (state.waiting.empty() || state.pump_posted) return;
+  state.pump_posted = true;
+  loop_->Post([this, &state] {
+    state.pump_posted = false;
+    Pump(&state);
+  });
+}
+
+void Backends::Pump(ServiceState* state) {
+  while (!state->waiting.empty()) {
+    const auto first = state->waiting.begin();
+    const WaitKey key = first->first;
+    const auto start = first->second.start;
+    if (!start()) break;
+    state->waiting.erase(key);
+  }
+  if (state->waiting.empty() || state->timer != 0) return;
+  state->timer = loop_->At(loop_->now() + kPumpInterval, [this, state] {
+    state->timer = 0;
+    Pump(state);
+  });
+}
+
+void Backends::NoteForeign(const BackendServerId& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Log(Part::kBackend).info("server {}: its address is another's", id.text);
+  found->second->belief.draining = true;
+  for (auto& it : std::exchange(found->second->idle, {})) it->Close();
+}
+
+void Backends::NoteFailure(const BackendServerId& id, AttemptId attempt) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  engine::NoteFailure(&found->second->belief, attempt, policy_.choice,
+                      loop_->now());
+}
+
+void Backends::NoteReply(const BackendServerId& id, AttemptId attempt,
+                         Millis latency, Millis usual) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  engine::NoteReply(&found->second->belief, attempt, latency, usual,
+                    policy_.choice, loop_->now());
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/backends_servers.cc
@@ -0,0 +1,80 @@
+// How the list of servers comes in and what leaves with it.
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+#include "backends_impl.h"
+#include "hibiscuspick/base/log.h"
+
+namespace hibiscuspick::edge {
+
+void NoteIdleTimeout(const HttpReply& reply, Millis* idle_timeout) {
+  constexpr std::string_view kKey = "timeout=";
+  constexpr double kSecond = 1000;
+  const std::string_view value = FindHeader(reply.headers, "Keep-Alive");
+  const size_t at = value.find(kKey);
+  if (at == std::string_view::npos) return;
+  int seconds = 0;
+  const char* begin = value.data() + at + kKey.size();
+  const auto read =
+      std::from_chars(begin, value.data() + value.size(), seconds);
+  if (read.ec == std::errc() && seconds > 0) {
+    *idle_timeout = Millis(seconds * kSecond);
+  }
+}
+
+void Backends::SetServers(const std::vector<engine::ServerEntry>& entries) {
+  const Millis now = loop_->now();
+  std::unordered_set<BackendServerId> present;
+  for (const auto& entry : entries) {
+    present.insert(entry.id);
+    auto& server = servers_[entry.id];
+    const bool is_new = !server;
+    if (is_new) {
+      server = std::make_shared<Server>();
+      StateOf(entry.service).servers.push_back(server);
+    } else if (server->belief.entry == entry && !server->belief.removed) {
+      continue;
+    }
+    server->belief.removed = false;
+    server->belief.entry = entry;
+    server->belief.warm_at = now + entry.warmup_left;
+    server->belief.draining = server->belief.draining || entry.draining;
+    Log(Part::kBackend)
+        .info("server {} of {} at {}: {}{}", entry.id.text, entry.service.text,
+              ToText(entry.address), is_new ? "new" : "changed",
+              entry.draining ? ", draining" : "");
+    if (server->belief.draining) Retire(server);
+    PumpSoon(entry.service);
+  }
+  std::vector<std::shared_ptr<Server>> gone;
+  for (const auto& [id, server] : servers_) {
+    if (!present.contains(id)) gone.push_back(server);
+  }
+  for (const auto& server : gone) {
+    if (!server->belief.removed) {
+      Log(Part::kBackend)
+          .info("server {} is gone", server->belief.entry.id.text);
+    }
+    server->belief.removed = true;
+    Retire(server);
+    Forget(server);
+  }
+}
+
+// Ends the connections that no attempt is on.
+void Backends::Retire(const std::shared_ptr<Server>& server) {
+  for (auto& it : std::exchange(server->idle, {})) it->Close();
+}
+
+// Drops a removed server once its last attempt has ended.
+void Backends::Forget(const std::shared_ptr<Server>& server) {
+  if (!server->belief.removed || !server->belief.open.empty()) return;
+  auto& all = StateOf(server->belief.entry.service).servers;
+  std::erase(all, server);
+  servers_.erase(server->belief.entry.id);
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/byte_stream.cc
@@ -0,0 +1,191 @@
+#include "hibiscuspick/edge/byte_stream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <utility>
+
+namespace hibiscuspick::edge {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Code = boost::system::error_code;
+
+constexpr size_t kReadBytes = 65536;
+
+// The kernel asks a silent other side this often, and gives up after this many
+// questions: a connection that a partition or a lost path has silenced ends
+// after four seconds instead of never.
+constexpr int kProbeSeconds = 2;
+constexpr int kProbes = 2;
+constexpr unsigned kUnackedMillis = 4000;
+
+// How long a connection that was closed in order waits for the other side to
+// end too. Closing with bytes unread would reset it and could take the last
+// answer from the other side's buffer.
+constexpr Millis kLinger{500};
+
+std::array<char, kReadBytes>& SharedBuffer() {
+  thread_local std::array<char, kReadBytes> buf;
+  return buf;
+}
+
+void SetOption(int fd, int level, int name, int value) {
+  // A system without the option only loses its speed-up.
+  (void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+ByteStream::ByteStream(Loop* loop) : loop_(loop), socket_(loop->io()) {}
+
+ByteStream::ByteStream(Loop* loop, tcp::socket socket)
+    : loop_(loop), socket_(std::move(socket)) {
+  SetOptions();
+}
+
+void ByteStream::SetOptions() {
+  Code ec;
+  socket_.non_blocking(true, ec);
+  const int fd = socket_.native_handle();
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kUnackedMillis));
+}
+
+void ByteStream::Connect(const Address& address, Millis timeout,
+                         std::function<void(bool)> done) {
+  Code ec;
+  const auto ip = asio::ip::make_address(address.ip, ec);
+  if (!ec) socket_.open(tcp::v4(), ec);
+  if (ec) {
+    loop_->Post([done = std::move(done)] { done(false); });
+    return;
+  }
+  SetOptions();
+  auto self = shared_from_this();
+  auto shared_done =
+      std::make_shared<std::function<void(bool)>>(std::move(done));
+  timer_ = loop_->At(loop_->now() + timeout, [self, shared_done] {
+    self->timer_ = 0;
+    self->Close();
+    if (auto tell = std::exchange(*shared_done, nullptr)) tell(false);
+  });
+  socket_.async_connect(tcp::endpoint(ip, address.port),
+                        [self, shared_done](Code failure) {
+                          self->loop_->Cancel(std::exchange(self->timer_, 0));
+                          auto tell = std::exchange(*shared_done, nullptr);
+                          if (failure) self->Close();
+                          if (tell) tell(!failure && self->IsOpen());
+                        });
+}
+
+void ByteStream::Start(Handlers handlers) {
+  handlers_ = std::move(handlers);
+  WaitReadable();
+}
+
+void ByteStream::WaitReadable() {
+  if (!IsOpen()) return;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](Code ec) {
+                       if (!ec) self->ReadNow();
+                     });
+}
+
+void ByteStream::ReadNow() {
+  if (!IsOpen()) return;
+  Code ec;
+  auto& buf = SharedBuffer();
+  const size_t n = socket_.read_some(asio::buffer(buf), ec);
+  if (ec == asio::error::would_block || ec == asio::error::interrupted) {
+    WaitReadable();
+    return;
+  }
+  if (ec) {
+    End(ec == asio::error::eof ? StreamEnd::kOrderly : StreamEnd::kBroken);
+    return;
+  }
+  if (!lingering_ && handlers_.on_bytes) {
+    // A copy of the handler, since it may close the stream and so drop it.
+    const auto on_bytes = handlers_.on_bytes;
+    on_bytes(std::string_view(buf.data(), n));
+  }
+  WaitReadable();
+}
+
+void ByteStream::Write(std::string text) {
+  if (!IsOpen() || close_when_flushed_) return;
+  const bool waiting = !unsent_.empty();
+  unsent_.append(text);
+  if (!waiting) Flush();
+}
+
+void ByteStream::Flush() {
+  Code ec;
+  const size_t n = socket_.write_some(asio::buffer(unsent_), ec);
+  if (ec && ec != asio::error::would_block) {
+    // Told later, so that the writer isn't called from within its own call.
+    loop_->Post([self = shared_from_this()] { self->End(StreamEnd::kBroken); });
+    return;
+  }
+  unsent_.erase(0, ec ? 0 : n);
+  if (!unsent_.empty()) {
+    WaitWritable();
+  } else if (close_when_flushed_) {
+    Linger();
+  }
+}
+
+void ByteStream::WaitWritable() {
+  socket_.async_wait(tcp::socket::wait_write,
+                     [self = shared_from_this()](Code ec) {
+                       if (!ec && self->IsOpen()) self->Flush();
+                     });
+}
+
+void ByteStream::End(StreamEnd how) {
+  if (!IsOpen()) return;
+  auto on_end = std::move(handlers_.on_end);
+  const bool tell = !lingering_;
+  Close();
+  if (tell && on_end) on_end(how);
+}
+
+void ByteStream::Close() {
+  loop_->Cancel(std::exchange(timer_, 0));
+  Code ec;
+  socket_.close(ec);
+  // Handlers may hold the owner that holds this stream. They are dropped
+  // later, since one of them may be running.
+  if (handlers_.on_bytes || handlers_.on_end) {
+    loop_->Post([dropped = std::make_shared<Handlers>(
+                     std::exchange(handlers_, Handlers()))] {});
+  }
+}
+
+void ByteStream::CloseWhenFlushed() {
+  if (!IsOpen() || close_when_flushed_) return;
+  close_when_flushed_ = true;
+  if (unsent_.empty()) Linger();
+}
+
+void ByteStream::Linger() {
+  lingering_ = true;
+  Code ec;
+  socket_.shutdown(tcp::socket::shutdown_send, ec);
+  timer_ = loop_->At(loop_->now() + kLinger, [self = shared_from_this()] {
+    self->timer_ = 0;
+    self->Close();
+  });
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/http_channel.cc
@@ -0,0 +1,103 @@
+#include "hibiscuspick/edge/http_channel.h"
+
+#include <utility>
+
+namespace hibiscuspick::edge {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+HttpChannel::HttpChannel(Loop* loop)
+    : loop_(loop), stream_(std::make_shared<ByteStream>(loop)) {}
+
+void HttpChannel::Connect(const Address& address, Millis timeout,
+                          std::function<void(bool)> done) {
+  auto self = shared_from_this();
+  stream_->Connect(address, timeout, [self, done = std::move(done)](bool ok) {
+    self->open_ = ok;
+    self->idle_since_ = self->loop_->now();
+    if (ok) {
+      self->stream_->Start({[self](auto bytes) { self->OnBytes(bytes); },
+                            [self](auto how) { self->OnEnd(how); }});
+    }
+    done(ok);
+  });
+}
+
+void HttpChannel::Send(Exchange exchange) {
+  busy_ = true;
+  exchange_ = std::move(exchange);
+  reader_ =
+      std::make_unique<ReplyReader>(exchange_.to_head, exchange_.reply_bytes);
+  stream_->Write(std::exchange(exchange_.text, std::string()));
+}
+
+void HttpChannel::OnBytes(std::string_view bytes) {
+  if (!busy_) {
+    Close();
+    if (on_idle_end_) std::exchange(on_idle_end_, nullptr)();
+    return;
+  }
+  in_.append(bytes);
+  while (busy_ && !in_.empty() && TakeReply()) {
+  }
+}
+
+// Reads on; true if a reply that isn't the one awaited was passed over.
+bool HttpChannel::TakeReply() {
+  const ReadState state = reader_->Read(&in_);
+  if (state == ReadState::kMore) return false;
+  if (state != ReadState::kDone) {
+    Finish(ExchangeEnd::kBroken, {});
+    return false;
+  }
+  HttpReply reply = reader_->Take();
+  const bool interim = reply.status < kFirstFinalStatus;
+  if (interim || (exchange_.is_ours && !exchange_.is_ours(reply))) {
+    tainted_ = tainted_ || !interim;
+    reader_ =
+        std::make_unique<ReplyReader>(exchange_.to_head, exchange_.reply_bytes);
+    return true;
+  }
+  Finish(ExchangeEnd::kReply, std::move(reply));
+  return false;
+}
+
+void HttpChannel::OnEnd(StreamEnd how) {
+  open_ = false;
+  if (!busy_) {
+    if (on_idle_end_) std::exchange(on_idle_end_, nullptr)();
+    return;
+  }
+  if (how == StreamEnd::kOrderly && reader_->ReadEnd() == ReadState::kDone) {
+    HttpReply reply = reader_->Take();
+    if (!exchange_.is_ours || exchange_.is_ours(reply)) {
+      Finish(ExchangeEnd::kReply, std::move(reply));
+      return;
+    }
+  }
+  Finish(ExchangeEnd::kBroken, {});
+}
+
+void HttpChannel::Finish(ExchangeEnd end, HttpReply reply) {
+  busy_ = false;
+  idle_since_ = loop_->now();
+  const bool reusable = end == ExchangeEnd::kReply && reply.keep_alive &&
+                        !reply.until_close && !tainted_ && in_.empty() &&
+                        stream_->IsFlushed();
+  if (!reusable) Close();
+  const auto on_reply = std::exchange(exchange_.on_reply, nullptr);
+  exchange_ = {};
+  if (on_reply) on_reply(end, std::move(reply));
+}
+
+void HttpChannel::Close() {
+  open_ = false;
+  busy_ = false;
+  exchange_.on_reply = nullptr;
+  stream_->Close();
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/query_answer.cc
@@ -0,0 +1,143 @@
+// How a request ends: its answer, its failure, its caller leaving.
+#include <algorithm>
+#include <utility>
+
+#include "hibiscuspick/edge/query_run.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+// When a caller that was refused may try again: long enough for another
+// instance or a drained queue, short enough to be within its target.
+constexpr std::string_view kRetryAfterSeconds = "0.05";
+
+}  // namespace
+
+std::string_view FaultName(QueryFault fault) {
+  switch (fault) {
+    case QueryFault::kNone:
+      return "none";
+    case QueryFault::kNoServer:
+      return "no_server";
+    case QueryFault::kNoRoom:
+      return "no_room";
+    case QueryFault::kServersFailed:
+      return "servers_failed";
+    case QueryFault::kTimeUp:
+      return "time_up";
+    case QueryFault::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+bool QueryRun::MayHaveRun() const {
+  return std::any_of(parts_.begin(), parts_.end(),
+                     [](auto& it) { return !it.ran_on.empty(); });
+}
+
+void QueryRun::Answer() {
+  if (route_->gather) {
+    Finish(GatherReply(), QueryFault::kNone);
+    return;
+  }
+  HttpReply reply = std::move(parts_[0].reply);
+  reply.headers = EndToEnd(reply.headers);
+  Finish(std::move(reply), QueryFault::kNone);
+}
+
+HttpReply QueryRun::GatherReply() const {
+  const auto& names = *context_->names;
+  HttpReply reply;
+  reply.status = 200;
+  std::string stamps;
+  std::vector<std::string_view> bodies;
+  for (const auto& it : parts_) {
+    if (!it.in) continue;
+    if (!stamps.empty()) stamps += ", ";
+    stamps += FindHeader(it.reply.headers, names.stamp);
+    bodies.push_back(it.reply.body);
+  }
+  reply.headers.push_back({names.request_id, request_id_});
+  reply.headers.push_back({names.part_stamps, std::move(stamps)});
+  reply.headers.push_back(
+      {names.parts_missing, std::to_string(parts_.size() - bodies.size())});
+  reply.headers.push_back({"Content-Type", "application/octet-stream"});
+  reply.body = engine::MergeTop(bodies, route_->gather->top);
+  return reply;
+}
+
+HttpReply QueryRun::OwnReply(int status, QueryFault fault) const {
+  HttpReply reply;
+  reply.status = status;
+  reply.headers.push_back({context_->names->request_id, request_id_});
+  reply.headers.push_back({"Content-Type", "application/json"});
+  if (status == 503) {
+    reply.headers.push_back({"Retry-After", std::string(kRetryAfterSeconds)});
+  }
+  reply.body = R"({"error":")" + std::string(FaultName(fault)) + R"("})";
+  return reply;
+}
+
+void QueryRun::Fail(QueryFault fault) {
+  // A server's own answer to a plain request is the caller's answer, whatever
+  // it says.
+  if (!route_->gather && parts_[0].failure &&
+      fault == QueryFault::kServersFailed) {
+    HttpReply reply = std::move(*parts_[0].failure);
+    reply.headers = EndToEnd(reply.headers);
+    Finish(std::move(reply), fault);
+    return;
+  }
+  const bool ran = MayHaveRun();
+  const int status = !ran                                  ? 503
+                     : fault == QueryFault::kServersFailed ? 502
+                                                           : 504;
+  Finish(OwnReply(status, fault), fault);
+}
+
+void QueryRun::Finish(HttpReply reply, QueryFault fault) {
+  QueryOutcome outcome;
+  const auto progress = Progress();
+  outcome.reply = std::move(reply);
+  outcome.fault = fault;
+  outcome.shards = progress.shards;
+  outcome.shards_in = progress.in;
+  outcome.extras = extras_;
+  outcome.ran = MayHaveRun();
+  outcome.took = context_->loop->now() - began_;
+  StopParts(false);
+  if (const auto on_done = std::exchange(on_done_, nullptr)) on_done(outcome);
+}
+
+void QueryRun::Cancel() {
+  if (done_) return;
+  on_done_ = nullptr;
+  StopParts(true);
+}
+
+void QueryRun::GiveUp() {
+  if (done_) return;
+  const auto progress = Progress();
+  if (progress.in >= progress.needed) {
+    Answer();
+  } else {
+    Fail(QueryFault::kStopping);
+  }
+}
+
+void QueryRun::StopParts(bool caller_left) {
+  done_ = true;
+  context_->loop->Cancel(std::exchange(timer_, 0));
+  for (auto& part : parts_) {
+    if (part.waiting) {
+      context_->backends->Withdraw(part.service, *part.waiting);
+      part.waiting.reset();
+    }
+    for (const auto& it : std::exchange(part.open, {})) {
+      context_->backends->Abandon(it.id, caller_left);
+    }
+  }
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/query_run.cc
@@ -0,0 +1,323 @@
+#include "hibiscuspick/edge/query_run.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace hibiscuspick::edge {
+namespace {
+
+using engine::GatherStep;
+using engine::Repeat;
+
+// Refusals of servers that one part takes before it counts as failed: each one
+// costs the budget and tells that the service is full.
+constexpr int kMostRefusals = 3;
+
+std::optional<double> ParseNumber(std::string_view text) {
+  int64_t n = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (read.ec != std::errc() || read.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return static_cast<double>(n);
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+QueryRun::QueryRun(const QueryContext* context,
+                   std::shared_ptr<const engine::TrafficConfig> config,
+                   const engine::Route* route, engine::RoutePace* pace,
+                   HttpRequest request)
+    : context_(context),
+      config_(std::move(config)),
+      route_(route),
+      pace_(pace),
+      request_(std::move(request)),
+      request_id_(FindHeader(request_.headers, context->names->request_id)),
+      began_(context->loop->now()) {
+  const auto& names = *context_->names;
+  for (auto& it : EndToEnd(request_.headers)) {
+    // What this instance says itself is never taken from a caller.
+    if (SameName(it.name, names.deadline)) continue;
+    if (SameName(it.name, names.expect_instance)) continue;
+    if (SameName(it.name, names.stamp)) continue;
+    forwarded_.push_back(std::move(it));
+  }
+}
+
+void QueryRun::ReadClocks() {
+  const auto header = FindHeader(request_.headers, context_->names->deadline);
+  Millis wait = route_->timeout;
+  Millis spent{0};
+  if (const auto n = ParseNumber(header); n && *n > 0) {
+    const Millis said(*n);
+    spent = engine::SpentBefore(pace_, said);
+    wait = Min(wait, said - context_->end_margin);
+  }
+  clocks_.end_at = began_ + wait;
+  clocks_.answer_at = began_ + route_->target - spent - context_->answer_margin;
+}
+
+void QueryRun::Start(const std::vector<ServiceId>& services, OnDone on_done) {
+  on_done_ = std::move(on_done);
+  ReadClocks();
+  parts_.resize(services.size());
+  const auto& limits = context_->backends->policy().extra;
+  for (size_t i = 0; i < services.size(); ++i) {
+    parts_[i].service = services[i];
+    engine::CountRequest(&context_->backends->extra(services[i]), limits,
+                         began_);
+  }
+  for (size_t i = 0; i < parts_.size() && !done_; ++i) StartPart(i);
+  Check();
+}
+
+void QueryRun::StartPart(size_t i) {
+  auto& part = parts_[i];
+  if (TryPart(i, false, false)) return;
+  if (!context_->backends->HasServer(part.service)) {
+    part.failed = true;
+    return;
+  }
+  Waiting waiting;
+  waiting.priority = route_->priority;
+  waiting.due = clocks_.answer_at;
+  waiting.start = [self = shared_from_this(), i] {
+    auto& it = self->parts_[i];
+    if (self->done_ || it.in || it.failed) return true;
+    if (!self->TryPart(i, false, false)) return false;
+    it.waiting.reset();
+    self->ArmTimer();
+    return true;
+  };
+  part.waiting = context_->backends->Enqueue(part.service, std::move(waiting));
+}
+
+// Starts one attempt of the part; false if no server takes it, or, for an
+// extra one, if the budget has no room.
+bool QueryRun::TryPart(size_t i, bool extra, bool only_unsuspected) {
+  auto& part = parts_[i];
+  auto& backends = *context_->backends;
+  const Millis now = context_->loop->now();
+  const auto& limits = backends.policy().extra;
+  auto& budget = backends.extra(part.service);
+  if (extra && !engine::HasExtra(budget, limits, now)) return false;
+  AttemptOrder order = OrderFor(i);
+  order.only_unsuspected = only_unsuspected;
+  const auto started = backends.TryStart(std::move(order));
+  if (!started) return false;
+  if (extra) {
+    engine::TakeExtra(&budget, limits, now);
+    ++extras_;
+  }
+  part.open.push_back({started->id, started->server, now});
+  return true;
+}
+
+AttemptOrder QueryRun::OrderFor(size_t i) {
+  AttemptOrder order;
+  order.service = parts_[i].service;
+  order.usual = pace_->usual;
+  order.overdue_after = pace_->hedge_after;
+  order.excluded = parts_[i].ran_on;
+  for (const auto& it : parts_[i].open) order.excluded.push_back(it.server);
+  order.to_head = request_.method == "HEAD";
+  order.once = route_->repeat == Repeat::kOnce;
+  const auto self = shared_from_this();
+  order.text_for = [self, i](const BackendServerId& server) {
+    self->parts_[i].ran_on.push_back(server);
+    return self->TextFor(server);
+  };
+  order.is_ours = [self](const HttpReply& reply) {
+    return self->IsOurs(reply);
+  };
+  order.on_end = [self, i](AttemptResult result) {
+    self->OnAttempt(i, std::move(result));
+  };
+  return order;
+}
+
+std::string QueryRun::TextFor(const BackendServerId& server) const {
+  const auto& names = *context_->names;
+  HttpRequest sent;
+  sent.method = request_.method;
+  sent.target = request_.target;
+  sent.headers = forwarded_;
+  const Millis left = Max(clocks_.end_at - context_->loop->now(), Millis(1));
+  sent.headers.push_back(
+      {names.deadline, std::to_string(static_cast<int64_t>(left.count))});
+  sent.headers.push_back({names.expect_instance, server.text});
+  sent.body = request_.body;
+  return ToText(sent);
+}
+
+// A reply with another request's id is a late or second answer to that one.
+bool QueryRun::IsOurs(const HttpReply& reply) const {
+  const auto id = FindHeader(reply.headers, context_->names->request_id);
+  return id.empty() || id == request_id_;
+}
+
+bool QueryRun::IsGood(const HttpReply& reply) const {
+  const auto& names = *context_->names;
+  return IsSuccess(reply.status) &&
+         !FindHeader(reply.headers, names.stamp).empty() &&
+         FindHeader(reply.headers, names.request_id) == request_id_ &&
+         FindHeader(reply.headers, "Content-Encoding").empty();
+}
+
+void QueryRun::OnAttempt(size_t i, AttemptResult result) {
+  auto& part = parts_[i];
+  std::erase_if(part.open, [&](auto& it) { return it.id == result.id; });
+  auto& backends = *context_->backends;
+  const bool whole = result.end == AttemptEnd::kReply;
+  if (whole && IsGood(result.reply)) {
+    backends.NoteReply(result.server, result.id, result.latency, pace_->usual);
+    engine::AddLatency(pace_, result.latency, route_->target);
+    if (done_ || part.in) return;
+    part.in = true;
+    part.reply = std::move(result.reply);
+    for (const auto& it : std::exchange(part.open, {})) {
+      backends.Abandon(it.id, false);
+    }
+    Check();
+    return;
+  }
+  backends.NoteFailure(result.server, result.id);
+  if (!done_ && !part.in) OnFailed(i, result);
+  if (!done_) Check();
+}
+
+void QueryRun::OnFailed(size_t i, const AttemptResult& result) {
+  auto& part = parts_[i];
+  const auto& names = *context_->names;
+  bool ran = result.end == AttemptEnd::kBroken;
+  if (result.end == AttemptEnd::kReply) {
+    constexpr int kMisdirected = 421;
+    const bool foreign = result.reply.status == kMisdirected;
+    ran = !foreign && FindHeader(result.reply.headers, names.not_run).empty();
+    if (foreign) context_->backends->NoteForeign(result.server);
+    if (ran) part.failure = result.reply;
+  }
+  if (!ran) {
+    std::erase(part.ran_on, result.server);
+    if (result.end == AttemptEnd::kReply) ++part.refusals;
+  }
+  RetryPart(i, ran);
+}
+
+void QueryRun::RetryPart(size_t i, bool ran) {
+  auto& part = parts_[i];
+  if (!part.open.empty() || part.waiting) return;
+  const bool may_repeat = route_->repeat == Repeat::kIdempotent || !ran;
+  const bool may_run =
+      part.ran_on.size() < static_cast<size_t>(route_->attempts);
+  if (!may_repeat || !may_run || part.refusals > kMostRefusals) {
+    part.failed = true;
+    return;
+  }
+  // What was never sent costs the servers nothing and is no extra attempt.
+  const bool extra = ran || part.refusals > 0;
+  if (TryPart(i, extra, false)) return;
+  const auto& limits = context_->backends->policy().extra;
+  if (!context_->backends->HasServer(part.service) ||
+      (extra && !engine::HasExtra(context_->backends->extra(part.service),
+                                  limits, context_->loop->now()))) {
+    part.failed = true;
+    return;
+  }
+  Waiting waiting;
+  waiting.priority = route_->priority;
+  waiting.due = clocks_.answer_at;
+  waiting.start = [self = shared_from_this(), i, extra] {
+    auto& it = self->parts_[i];
+    if (self->done_ || it.in || it.failed) return true;
+    if (!self->TryPart(i, extra, false)) return false;
+    it.waiting.reset();
+    self->ArmTimer();
+    return true;
+  };
+  part.waiting = context_->backends->Enqueue(part.service, std::move(waiting));
+}
+
+// A part whose only attempt takes longer than usual is asked for at another
+// server, if that one isn't suspected of standing still too.
+void QueryRun::HedgeParts() {
+  if (route_->repeat != Repeat::kIdempotent || route_->attempts < 2) return;
+  const Millis due = context_->loop->now() - pace_->hedge_after;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    const auto& part = parts_[i];
+    if (part.in || part.failed || part.open.size() != 1) continue;
+    if (part.open[0].since > due) continue;
+    if (part.ran_on.size() >= static_cast<size_t>(route_->attempts)) continue;
+    TryPart(i, true, true);
+  }
+}
+
+Millis QueryRun::NextHedge() const {
+  Millis next = kNever;
+  if (route_->repeat != Repeat::kIdempotent || route_->attempts < 2) {
+    return next;
+  }
+  const Millis now = context_->loop->now();
+  for (const auto& part : parts_) {
+    if (part.in || part.failed || part.open.size() != 1) continue;
+    if (part.ran_on.size() >= static_cast<size_t>(route_->attempts)) continue;
+    // One that is due already found no server or no budget: it looks again
+    // after a quarter of the time.
+    Millis at = part.open[0].since + pace_->hedge_after;
+    if (at <= now) at = now + Max(pace_->hedge_after * 0.25, Millis(2));
+    next = Min(next, at);
+  }
+  return next;
+}
+
+engine::GatherProgress QueryRun::Progress() const {
+  engine::GatherProgress progress;
+  progress.shards = parts_.size();
+  progress.needed =
+      route_->gather
+          ? engine::PartsNeeded(route_->gather->least_share, parts_.size())
+          : 1;
+  for (const auto& it : parts_) {
+    progress.in += it.in ? 1 : 0;
+    progress.failed += it.failed && !it.in ? 1 : 0;
+  }
+  return progress;
+}
+
+void QueryRun::Check() {
+  if (done_) return;
+  switch (engine::NextStep(Progress(), clocks_, context_->loop->now())) {
+    case GatherStep::kAnswer:
+      Answer();
+      return;
+    case GatherStep::kFail:
+      Fail(MayHaveRun() ? QueryFault::kServersFailed : QueryFault::kNoServer);
+      return;
+    case GatherStep::kTimeUp:
+      Fail(MayHaveRun() ? QueryFault::kTimeUp : QueryFault::kNoRoom);
+      return;
+    case GatherStep::kWait:
+      ArmTimer();
+  }
+}
+
+void QueryRun::ArmTimer() {
+  if (done_) return;
+  context_->loop->Cancel(timer_);
+  const Millis now = context_->loop->now();
+  Millis next = Min(clocks_.end_at, NextHedge());
+  if (clocks_.answer_at > now) next = Min(next, clocks_.answer_at);
+  timer_ = context_->loop->At(next, [self = shared_from_this()] {
+    self->timer_ = 0;
+    if (self->done_) return;
+    self->HedgeParts();
+    self->Check();
+  });
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/src/traffic_server.cc
@@ -0,0 +1,187 @@
+#include "hibiscuspick/edge/traffic_server.h"
+
+#include <utility>
+
+#include "hibiscuspick/base/log.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+constexpr Millis kStopCheck{50};
+
+// A caller refused before anything ran may come back at once: another instance
+// gets it.
+constexpr std::string_view kSoon = "0.05";
+
+}  // namespace
+
+TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      backends_(loop, settings_.backends),
+      callers_(loop, CallersPolicy()),
+      readiness_(loop, ReadinessPolicy()) {
+  context_.loop = loop;
+  context_.backends = &backends_;
+  context_.names = &settings_.names;
+  context_.answer_margin = settings_.answer_margin;
+  context_.end_margin = settings_.end_margin;
+}
+
+SessionPolicy TrafficServer::CallersPolicy() {
+  SessionPolicy policy;
+  policy.limits = [this] {
+    return config_ ? config_->limits : engine::CallerLimits();
+  };
+  policy.on_request = [this](const auto& session, HttpRequest request) {
+    OnRequest(session, std::move(request));
+  };
+  policy.closing = [this] { return stopping_; };
+  return policy;
+}
+
+SessionPolicy TrafficServer::ReadinessPolicy() {
+  SessionPolicy policy;
+  policy.limits = [] { return engine::CallerLimits(); };
+  policy.on_request = [this](const auto& session, const HttpRequest& request) {
+    HttpReply reply;
+    const bool asks = request.target.starts_with(settings_.readiness_path);
+    reply.status = !asks ? 404 : IsReady() ? 200 : 503;
+    session->Reply(reply);
+  };
+  policy.closing = [] { return false; };
+  return policy;
+}
+
+Result<Done> TrafficServer::Listen() {
+  auto listened = callers_.Listen(settings_.callers);
+  if (!IsOk(listened)) return listened;
+  return readiness_.Listen(settings_.readiness);
+}
+
+void TrafficServer::SetConfig(
+    std::shared_ptr<const engine::TrafficConfig> config) {
+  if (config_ && config->version < config_->version) {
+    Log(Part::kConfig)
+        .warn("configuration {} is older than {} in force, passed over",
+              config->version, config_->version);
+    return;
+  }
+  config_ = std::move(config);
+  for (const auto& [id, service] : config_->services) {
+    backends_.SetMaxConnections(id, service.max_connections);
+  }
+  Log(Part::kConfig)
+      .info("configuration {} in force: {} routes, {} services",
+            config_->version, config_->routes.size(), config_->services.size());
+}
+
+void TrafficServer::SetServers(
+    const std::vector<engine::ServerEntry>& entries) {
+  backends_.SetServers(entries);
+  has_servers_ = true;
+}
+
+engine::RoutePace* TrafficServer::PaceOf(const engine::Route& route) {
+  auto& pace = paces_[route.id];
+  if (!pace) {
+    pace = std::make_unique<engine::RoutePace>(engine::FirstPace(route.target));
+  }
+  return pace.get();
+}
+
+std::vector<ServiceId> TrafficServer::ServicesFor(const engine::Route& route) {
+  if (route.gather) return route.gather->shards;
+  return {engine::NextOfSplit(route, &splits_[route.id])};
+}
+
+void TrafficServer::Refuse(HttpSession* session, const HttpRequest& request,
+                           int status, std::string_view why) {
+  const auto id = FindHeader(request.headers, settings_.names.request_id);
+  Log(Part::kFront).info("request {}: {} {}", id, status, why);
+  HttpReply reply;
+  reply.status = status;
+  reply.headers.push_back({settings_.names.request_id, std::string(id)});
+  if (status == 503)
+    reply.headers.push_back({"Retry-After", std::string(kSoon)});
+  reply.body = R"({"error":")" + std::string(why) + R"("})";
+  session->Reply(reply);
+}
+
+void TrafficServer::OnRequest(const std::shared_ptr<HttpSession>& session,
+                              HttpRequest request) {
+  if (!config_ || !has_servers_) {
+    Refuse(session.get(), request, 503, "not_ready");
+    return;
+  }
+  if (stopping_ && loop_->now() - stop_began_ >= settings_.stop_refuse) {
+    Refuse(session.get(), request, 503, "leaving");
+    return;
+  }
+  const auto* route = engine::FindRoute(
+      *config_, FindHeader(request.headers, "Host"), request.target);
+  if (route == nullptr) {
+    Refuse(session.get(), request, 404, "unknown_route");
+    return;
+  }
+  const std::string id(FindHeader(request.headers, settings_.names.request_id));
+  auto query = std::make_shared<QueryRun>(&context_, config_, route,
+                                          PaceOf(*route), std::move(request));
+  running_.insert(query);
+  session->set_on_gone([this, query] {
+    query->Cancel();
+    running_.erase(query);
+  });
+  const std::weak_ptr<QueryRun> weak = query;
+  query->Start(ServicesFor(*route),
+               [this, session, weak, id, route_id = route->id,
+                version = config_->version](const QueryOutcome& outcome) {
+                 if (outcome.fault != QueryFault::kNone) {
+                   LogOutcome(id, route_id, version, outcome);
+                 }
+                 session->Reply(outcome.reply);
+                 if (const auto it = weak.lock()) running_.erase(it);
+               });
+}
+
+void TrafficServer::LogOutcome(const std::string& request_id,
+                               const RouteId& route, uint64_t version,
+                               const QueryOutcome& outcome) {
+  Log(Part::kRoute)
+      .info(
+          "request {} route {} config {}: {} {} after {:.1f} ms, {} of {} "
+          "shards, {} extra, ran {}",
+          request_id, route.text, version, outcome.reply.status,
+          FaultName(outcome.fault), outcome.took.count, outcome.shards_in,
+          outcome.shards, outcome.extras, outcome.ran ? "maybe" : "no");
+}
+
+void TrafficServer::Stop(std::function<void()> done) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_began_ = loop_->now();
+  Log(Part::kDaemon)
+      .info("stops: not ready, {} requests in hand", running_.size());
+  StopStep(done);
+}
+
+void TrafficServer::StopStep(const std::function<void()>& done) {
+  const Millis age = loop_->now() - stop_began_;
+  if (age >= settings_.stop_answer) {
+    const auto left = running_;
+    for (const auto& it : left) it->GiveUp();
+  }
+  const bool quiet =
+      age >= settings_.stop_refuse && running_.empty() && callers_.busy() == 0;
+  if (quiet) callers_.CloseIdle();
+  // A moment longer, so that the last answers are read before the end.
+  constexpr Millis kLastReads{400};
+  if (age >= settings_.stop_end ||
+      (quiet && age >= settings_.stop_refuse + kLastReads)) {
+    done();
+    return;
+  }
+  loop_->At(loop_->now() + kStopCheck, [this, done] { StopStep(done); });
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/engine/src/gather.cc
@@ -0,0 +1,46 @@
+#include "hibiscuspick/engine/gather.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace hibiscuspick::engine {
+
+size_t PartsNeeded(double least_share, size_t shards) {
+  // Shares are written with few digits; without the small allowance a product
+  // that is a whole number but for rounding would ask for one part more.
+  constexpr double kRounding = 1e-9;
+  const double exact = least_share * static_cast<double>(shards) - kRounding;
+  const auto needed = static_cast<size_t>(std::ceil(std::max(exact, 0.0)));
+  return std::clamp<size_t>(needed, 1, std::max<size_t>(shards, 1));
+}
+
+GatherStep NextStep(const GatherProgress& progress, const GatherClocks& clocks,
+                    Millis now) {
+  const bool enough = progress.in >= progress.needed;
+  const size_t open = progress.shards - progress.in - progress.failed;
+  if (enough && (open == 0 || now >= clocks.answer_at)) {
+    return GatherStep::kAnswer;
+  }
+  if (progress.in + open < progress.needed) return GatherStep::kFail;
+  if (now >= clocks.end_at) return GatherStep::kTimeUp;
+  return GatherStep::kWait;
+}
+
+std::string MergeTop(const std::vector<std::string_view>& bodies, size_t top) {
+  std::vector<std::string_view> records;
+  for (const auto& body : bodies) {
+    for (size_t i = 0; i + kRecordBytes <= body.size(); i += kRecordBytes) {
+      records.push_back(body.substr(i, kRecordBytes));
+    }
+  }
+  const size_t n = std::min(top, records.size());
+  const auto middle = records.begin() + static_cast<std::ptrdiff_t>(n);
+  std::partial_sort(records.begin(), middle, records.end(), std::greater<>());
+  std::string merged;
+  merged.reserve(n * kRecordBytes);
+  for (auto it = records.begin(); it != middle; ++it) merged.append(*it);
+  return merged;
+}
+
+}  // namespace hibiscuspick::engine
--- /dev/null
+++ b/packages/engine/src/route_pace.cc
@@ -0,0 +1,54 @@
+#include "hibiscuspick/engine/route_pace.h"
+
+#include <algorithm>
+
+namespace hibiscuspick::engine {
+namespace {
+
+// Quantiles are worked out again after so many replies: 160 buckets are walked,
+// which costs as much as handling a reply.
+constexpr uint32_t kUpdateEvery = 32;
+constexpr uint64_t kFirstSamples = 16;
+
+// The share of attempts that get no second one. With one in twenty hedged and
+// one in twenty-five met by a pause the budget of one in five keeps room for
+// retries.
+constexpr double kHedgeQuantile = 0.95;
+
+// Bounds as shares of the target: sooner is noise; later leaves no time for the
+// second attempt to help.
+constexpr double kSoonestHedge = 0.1;
+constexpr double kLatestHedge = 0.45;
+
+constexpr double kFirstUsual = 0.15;
+constexpr double kFirstHedge = 0.35;
+
+}  // namespace
+
+RoutePace FirstPace(Millis target) {
+  RoutePace pace;
+  pace.usual = target * kFirstUsual;
+  pace.hedge_after = target * kFirstHedge;
+  return pace;
+}
+
+void AddLatency(RoutePace* pace, Millis latency, Millis target) {
+  limits::AddSample(&pace->sketch, latency);
+  ++pace->samples;
+  if (++pace->since_update < kUpdateEvery && pace->samples != kFirstSamples) {
+    return;
+  }
+  if (pace->samples < kFirstSamples) return;
+  pace->since_update = 0;
+  pace->usual = limits::Quantile(pace->sketch, 0.5);
+  const Millis late = limits::Quantile(pace->sketch, kHedgeQuantile);
+  pace->hedge_after =
+      Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
+}
+
+Millis SpentBefore(RoutePace* pace, Millis will_wait) {
+  pace->longest_wait = Max(pace->longest_wait, will_wait);
+  return pace->longest_wait - will_wait;
+}
+
+}  // namespace hibiscuspick::engine
--- /dev/null
+++ b/packages/engine/src/server_belief.cc
@@ -0,0 +1,110 @@
+#include "hibiscuspick/engine/server_belief.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscuspick::engine {
+namespace {
+
+// The weight of one reply in the latency factor: a tenfold slowdown shows
+// after two replies, one slow reply is forgotten after ten.
+constexpr double kReplyWeight = 0.25;
+
+// A reply counts at most this much: one that met a pause says little of the
+// next.
+constexpr double kMostSlowness = 30;
+
+// How much slower a server is that just started.
+constexpr double kWarmupFactor = 1.6;
+
+void Forget(ServerBelief* server, AttemptId attempt) {
+  std::erase_if(server->open,
+                [&](const OpenAttempt& it) { return it.id == attempt; });
+}
+
+}  // namespace
+
+bool IsSuspected(const ServerBelief& server, Millis now) {
+  return std::any_of(server.open.begin(), server.open.end(), [&](auto& it) {
+    return now >= it.overdue_at && it.sent >= server.replied_sent;
+  });
+}
+
+double SlownessNow(const ServerBelief& server, const ChoicePolicy& policy,
+                   Millis now) {
+  const double age = (now - server.slowness_at).count;
+  const double left = std::exp2(-age / policy.slowness_half_life.count);
+  const double warmup = now < server.warm_at ? kWarmupFactor : 1;
+  return (1 + (server.slowness - 1) * left) * warmup;
+}
+
+bool TakesAttempt(const ServerBelief& server, const ChoicePolicy& policy,
+                  Millis now) {
+  return !server.removed && !server.draining && !server.unreachable &&
+         now >= server.avoided_until &&
+         server.open.size() < static_cast<size_t>(policy.most_open);
+}
+
+Millis ExpectedCost(const ServerBelief& server, const ChoicePolicy& policy,
+                    Millis usual, Millis now) {
+  const double waiting = 1 + static_cast<double>(server.open.size());
+  Millis cost = usual * (waiting * SlownessNow(server, policy, now));
+  if (server.entry.data_centre != policy.own_data_centre) {
+    cost += policy.remote_cost;
+  }
+  if (IsSuspected(server, now)) cost += policy.suspected_cost;
+  return cost;
+}
+
+std::optional<size_t> ChooseServer(std::span<const ServerBelief* const> servers,
+                                   const ChoicePolicy& policy, Millis usual,
+                                   Millis now) {
+  std::optional<size_t> best;
+  Millis least = kNever;
+  for (size_t i = 0; i < servers.size(); ++i) {
+    if (!TakesAttempt(*servers[i], policy, now)) continue;
+    const Millis cost = ExpectedCost(*servers[i], policy, usual, now);
+    if (cost >= least) continue;
+    least = cost;
+    best = i;
+  }
+  return best;
+}
+
+void NoteSent(ServerBelief* server, OpenAttempt attempt) {
+  server->open.push_back(attempt);
+}
+
+void NoteEnded(ServerBelief* server, AttemptId attempt) {
+  Forget(server, attempt);
+}
+
+void NoteReply(ServerBelief* server, AttemptId attempt, Millis latency,
+               Millis usual, const ChoicePolicy& policy, Millis now) {
+  for (const auto& it : server->open) {
+    if (it.id == attempt) {
+      server->replied_sent = Max(server->replied_sent, it.sent);
+    }
+  }
+  Forget(server, attempt);
+  server->failures_in_row = 0;
+  const double factor =
+      std::min(latency.count / std::max(usual.count, 0.1), kMostSlowness);
+  const double before = 1 + (server->slowness - 1) *
+                                std::exp2(-(now - server->slowness_at).count /
+                                          policy.slowness_half_life.count);
+  server->slowness = before + kReplyWeight * (factor - before);
+  server->slowness_at = now;
+}
+
+void NoteFailure(ServerBelief* server, AttemptId attempt,
+                 const ChoicePolicy& policy, Millis now) {
+  Forget(server, attempt);
+  const int doublings = std::min(server->failures_in_row, 10);
+  ++server->failures_in_row;
+  const Millis pause = Min(policy.first_avoidance * std::exp2(doublings),
+                           policy.longest_avoidance);
+  server->avoided_until = Max(server->avoided_until, now + pause);
+}
+
+}  // namespace hibiscuspick::engine
--- /dev/null
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -0,0 +1,45 @@
+// The settings file of an instance that serves callers directly from a list of
+// backend servers in an object store: JSON with comments, read at start and
+// again when it changes.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "hibiscuspick/base/address.h"
+#include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/settings/faults.h"
+
+namespace hibiscuspick::settings {
+
+struct EdgeSettings {
+  InstanceId instance;
+  DataCentreId data_centre;
+  Address callers;
+  Address readiness;
+  Address store;
+
+  // What all instances together may add to a service's requests, in hedges and
+  // retries, within any window.
+  double extra_ratio = 0.2;
+  Millis extra_window{10000};
+  double extra_slack = 0;
+  // Instances that share that slack and the servers' connections.
+  int instances = 8;
+
+  // From the stop signal until the process is ended by force.
+  Millis grace{6000};
+
+  std::string log_level = "info";
+  LogFormat log_format = LogFormat::kJson;
+};
+
+// Whether the text is such a file: it has the section "edge".
+bool IsEdgeSettings(std::string_view text);
+
+// Reads and checks the file's text. Every fault is given at once.
+Checked<EdgeSettings> ReadEdgeSettings(std::string_view text);
+
+}  // namespace hibiscuspick::settings
--- /dev/null
+++ b/packages/settings/src/edge_settings.cc
@@ -0,0 +1,105 @@
+#include "hibiscuspick/settings/edge_settings.h"
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/base/json.h"
+#include "hibiscuspick/settings/json_reader.h"
+
+namespace hibiscuspick::settings {
+namespace {
+
+constexpr int64_t kHour = 3'600'000;
+constexpr std::array<std::string_view, 6> kLevels = {"trace", "debug", "info",
+                                                     "warn",  "error", "off"};
+constexpr std::array<std::string_view, 2> kFormats = {"text", "json"};
+
+const Json& Section(JsonReader* reader, const std::string& key) {
+  static const Json empty = Json::object();
+  const Json* field = reader->Find(key);
+  return field ? *field : empty;
+}
+
+Millis ReadMillis(JsonReader* reader, const std::string& key,
+                  IntegerRange range, Millis fallback) {
+  const auto whole = static_cast<int64_t>(fallback.count);
+  return Millis(static_cast<double>(reader->Integer(key, range, whole)));
+}
+
+// A number with a fraction, from 0 to `most`.
+double ReadFraction(JsonReader* reader, const std::string& key, double most,
+                    double fallback) {
+  const Json* field = reader->Find(key);
+  if (field == nullptr) return fallback;
+  if (!field->is_number()) {
+    reader->Add(key, "must be a number");
+    return fallback;
+  }
+  const double value = field->get<double>();
+  if (value >= 0 && value <= most) return value;
+  reader->Add(key, "must be from 0 to " + std::to_string(most));
+  return fallback;
+}
+
+void ReadExtra(JsonReader* edge, EdgeSettings* out,
+               std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "extra_attempts"), "$.edge.extra_attempts",
+                    faults);
+  constexpr double kMostRatio = 10;
+  constexpr double kMostSlack = 1e6;
+  out->extra_ratio =
+      ReadFraction(&reader, "ratio", kMostRatio, out->extra_ratio);
+  out->extra_window =
+      ReadMillis(&reader, "window_ms", {100, kHour}, out->extra_window);
+  out->extra_slack =
+      ReadFraction(&reader, "slack", kMostSlack, out->extra_slack);
+  reader.RefuseUnknown();
+}
+
+void ReadLog(JsonReader* edge, EdgeSettings* out, std::vector<Fault>* faults) {
+  constexpr size_t kInfo = 2;
+  JsonReader reader(Section(edge, "log"), "$.edge.log", faults);
+  out->log_level = kLevels[reader.Choice("level", kLevels, kInfo)];
+  out->log_format = reader.Choice("format", kFormats, 1) == 0
+                        ? LogFormat::kText
+                        : LogFormat::kJson;
+  reader.RefuseUnknown();
+}
+
+void ReadEdge(JsonReader* root, EdgeSettings* out, std::vector<Fault>* faults) {
+  JsonReader reader(Section(root, "edge"), "$.edge", faults);
+  out->callers = reader.IpAddress("callers");
+  out->readiness = reader.IpAddress("readiness");
+  out->store = reader.IpAddress("store");
+  ReadExtra(&reader, out, faults);
+  out->instances =
+      static_cast<int>(reader.Integer("instances", {1, 10000}, out->instances));
+  out->grace = ReadMillis(&reader, "grace_ms", {1000, kHour}, out->grace);
+  ReadLog(&reader, out, faults);
+  reader.RefuseUnknown();
+}
+
+}  // namespace
+
+bool IsEdgeSettings(std::string_view text) {
+  const auto parsed = ParseJson(text, JsonComments::kAllowed);
+  return IsOk(parsed) && ValueOf(parsed).is_object() &&
+         ValueOf(parsed).contains("edge");
+}
+
+Checked<EdgeSettings> ReadEdgeSettings(std::string_view text) {
+  const auto parsed = ParseJson(text, JsonComments::kAllowed);
+  if (!IsOk(parsed)) return std::vector<Fault>{ErrorOf(parsed)};
+  std::vector<Fault> faults;
+  EdgeSettings out;
+  JsonReader reader(ValueOf(parsed), "$", &faults);
+  out.instance = InstanceId(reader.NameText("instance"));
+  out.data_centre = DataCentreId(reader.NameText("data_centre"));
+  ReadEdge(&reader, &out, &faults);
+  reader.RefuseUnknown();
+  if (!faults.empty()) return faults;
+  return out;
+}
+
+}  // namespace hibiscuspick::settings
