--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -123,6 +123,9 @@
   engine::RoutePace* const pace_;
   HttpRequest request_;
   std::string request_id_;
+  // Whose budget of extra attempts it draws on: the shards of one fan-out
+  // share one.
+  ServiceId budget_of_;
   std::vector<Header> forwarded_;
   OnDone on_done_;
   std::vector<Part> parts_;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -69,9 +69,9 @@
   const auto& limits = context_->backends->policy().extra;
   for (size_t i = 0; i < services.size(); ++i) {
     parts_[i].service = services[i];
-    engine::CountRequest(&context_->backends->extra(services[i]), limits,
-                         began_);
   }
+  budget_of_ = *std::min_element(services.begin(), services.end());
+  engine::CountRequest(&context_->backends->extra(budget_of_), limits, began_);
   for (size_t i = 0; i < parts_.size() && !done_; ++i) StartPart(i);
   Check();
 }
@@ -104,7 +104,7 @@
   auto& backends = *context_->backends;
   const Millis now = context_->loop->now();
   const auto& limits = backends.policy().extra;
-  auto& budget = backends.extra(part.service);
+  auto& budget = backends.extra(budget_of_);
   if (extra && !engine::HasExtra(budget, limits, now)) return false;
   AttemptOrder order = OrderFor(i);
   order.only_unsuspected = only_unsuspected;
@@ -224,8 +224,8 @@
   if (TryPart(i, extra, false)) return;
   const auto& limits = context_->backends->policy().extra;
   if (!context_->backends->HasServer(part.service) ||
-      (extra && !engine::HasExtra(context_->backends->extra(part.service),
-                                  limits, context_->loop->now()))) {
+      (extra && !engine::HasExtra(context_->backends->extra(budget_of_), limits,
+                                  context_->loop->now()))) {
     part.failed = true;
     return;
   }
