The loop reads its clock after a wait; kept-back shards; not ready when cut off

Cause: a round's instant was taken before the wait for sockets, so a request that ended a long wait seemed as old as the wait: clocks ran out early, parts were left out and latencies measured several times too long (a trial's log: all parts of a query 'took' 33 ms at once, work being 7.5 ms).

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -106,8 +106,12 @@
   const BackendsPolicy& policy() const { return policy_; }
   // Attempts with a server, and parts waiting for one.
   size_t open_attempts() const { return attempts_.size(); }
-  // Whether the service has any server that isn't leaving or gone.
-  bool HasServer(const ServiceId& service) const;
+  // What an attempt at the service is expected to take now, room or not;
+  // nothing if none of its servers can be reached.
+  std::optional<Millis> Expect(const ServiceId& service, Millis usual) const;
+  // Whether every try at the servers of other data centres has failed for a
+  // while: the instance's data centre is cut off.
+  bool IsCutOff() const;
 
   // A server said that its address is now another's.
   void NoteForeign(const BackendServerId& id);
@@ -129,6 +133,8 @@
   void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply);
   void KeepChannel(const std::shared_ptr<Server>& server,
                    const std::shared_ptr<HttpChannel>& channel);
+  void NoteHeard(Server* server);
+  void NoteUnheard(const Server& server);
   void Probe(const std::shared_ptr<Server>& server);
   void DoubtSilent(const std::shared_ptr<Server>& server, Millis since);
   void Retire(const std::shared_ptr<Server>& server);
@@ -141,6 +147,10 @@
   std::unordered_map<BackendServerId, std::shared_ptr<Server>> servers_;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> services_;
   std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
+  // When a server of another data centre was last heard, and how many tries at
+  // such servers have failed since.
+  Millis remote_heard_;
+  int remote_failures_ = 0;
   uint64_t last_attempt_ = 0;
   uint64_t last_wait_ = 0;
 };
--- a/packages/edge/include/hibiscuspick/edge/loop.h
+++ b/packages/edge/include/hibiscuspick/edge/loop.h
@@ -28,9 +28,15 @@
 
   boost::asio::io_context& io() { return io_; }
 
-  // The instant at which the present round of work began; the same for all
-  // decisions of a round.
-  Millis now() const { return now_; }
+  // The instant at which the present round of work began, the same for all
+  // decisions of a round. Read at the first use after a wait: an instant from
+  // before the wait would make a request that ends it look old already, and its
+  // answer would go out before its parts are in.
+  Millis now() const {
+    if (!now_read_) now_ = SteadyNow();
+    now_read_ = true;
+    return now_;
+  }
 
   // Runs `task` once at or after `when`. Only from the loop's thread.
   TimerId At(Millis when, Task task);
@@ -58,7 +64,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       guard_;
   std::atomic<bool> stopped_{false};
-  Millis now_ = SteadyNow();
+  mutable Millis now_;
+  mutable bool now_read_ = false;
   TimerId last_id_ = 0;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::unordered_map<TimerId, Task> tasks_;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -75,6 +75,14 @@
   void GiveUp();
 
  private:
+  // What an attempt is, for the budget of extra ones.
+  enum class Extra {
+    kNone,
+    // A repeat, or a second attempt without which the query may fail.
+    kNeeded,
+    // A second attempt that makes the answer more complete.
+    kOptional,
+  };
   struct OpenTry {
     AttemptId id;
     BackendServerId server;
@@ -89,6 +97,8 @@
     std::optional<Backends::WaitKey> waiting;
     bool in = false;
     bool failed = false;
+    // Kept back until others are late.
+    bool deferred = false;
     HttpReply reply;
     // The last answer of a server that was no success.
     std::optional<HttpReply> failure;
@@ -96,7 +106,9 @@
 
   void ReadClocks();
   void StartPart(size_t i);
-  bool TryPart(size_t i, bool extra, bool only_unsuspected);
+  bool StartParts();
+  void WaitForRoom(size_t i, bool extra);
+  bool TryPart(size_t i, Extra extra);
   AttemptOrder OrderFor(size_t i);
   std::string TextFor(const BackendServerId& server) const;
   bool IsOurs(const HttpReply& reply) const;
@@ -105,8 +117,10 @@
   void OnFailed(size_t i, const AttemptResult& result);
   void RetryPart(size_t i, bool ran);
   void HedgeParts();
+  bool MayHedge(const Part& part) const;
   Millis NextHedge() const;
   void Check();
+  void StartKeptBack();
   void ArmTimer();
   void Answer();
   HttpReply GatherReply() const;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -57,7 +57,10 @@
  private:
   SessionPolicy CallersPolicy();
   SessionPolicy ReadinessPolicy();
-  bool IsReady() const { return config_ && has_servers_ && !stopping_; }
+  bool IsReady();
+  // Whether the data centre is cut off and the routes that callers ask for need
+  // more shards than are within reach: another data centre serves them better.
+  bool IsUseless();
   void OnRequest(const std::shared_ptr<HttpSession>& session,
                  HttpRequest request);
   std::vector<ServiceId> ServicesFor(const engine::Route& route);
@@ -77,6 +80,7 @@
   std::shared_ptr<const engine::TrafficConfig> config_;
   bool has_servers_ = false;
   bool stopping_ = false;
+  bool useless_ = false;
   Millis stop_began_;
   std::map<RouteId, std::unique_ptr<engine::RoutePace>> paces_;
   std::map<RouteId, engine::SplitState> splits_;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -17,6 +17,13 @@
 // A server that is silent for longer than the longest usual pause is doubted.
 constexpr Millis kSilence{400};
 
+// An instance takes its data centre for cut off if this many tries at servers
+// elsewhere have failed with none heard in between, for this long: more than a
+// pause of one server and the connect timeout of another, less than a second,
+// so that the balancer hears of it at its next question.
+constexpr int kCutOffFailures = 5;
+constexpr Millis kCutOffSilence{700};
+
 // A waiting part is looked at this often while its servers are avoided.
 constexpr Millis kPumpInterval{10};
 
@@ -44,12 +51,39 @@
       std::max(1, connections / std::max(1, policy_.instances));
 }
 
-bool Backends::HasServer(const ServiceId& service) const {
+std::optional<Millis> Backends::Expect(const ServiceId& service,
+                                       Millis usual) const {
   const auto state = services_.find(service);
-  if (state == services_.end()) return false;
-  return std::any_of(
-      state->second->servers.begin(), state->second->servers.end(),
-      [](auto& it) { return !it->belief.draining && !it->belief.removed; });
+  if (state == services_.end()) return std::nullopt;
+  std::optional<Millis> least;
+  for (const auto& it : state->second->servers) {
+    const auto& belief = it->belief;
+    if (belief.draining || belief.removed || belief.unreachable) continue;
+    const Millis cost =
+        usual * engine::SlownessNow(belief, policy_.choice, loop_->now());
+    least = least ? Min(*least, cost) : cost;
+  }
+  return least;
+}
+
+bool Backends::IsCutOff() const {
+  return remote_failures_ >= kCutOffFailures &&
+         loop_->now() - remote_heard_ >= kCutOffSilence;
+}
+
+void Backends::NoteHeard(Server* server) {
+  server->heard = loop_->now();
+  if (server->belief.entry.data_centre == policy_.choice.own_data_centre) {
+    return;
+  }
+  remote_heard_ = loop_->now();
+  remote_failures_ = 0;
+}
+
+void Backends::NoteUnheard(const Server& server) {
+  if (server.belief.entry.data_centre != policy_.choice.own_data_centre) {
+    ++remote_failures_;
+  }
 }
 
 Backends::Server* Backends::Choose(const AttemptOrder& order) {
@@ -155,8 +189,8 @@
   if (found == attempts_.end()) return;
   const auto server = found->second->server;
   const auto channel = found->second->channel;
-  server->heard = loop_->now();
   if (end == ExchangeEnd::kReply) {
+    NoteHeard(server.get());
     NoteIdleTimeout(reply, &server->idle_timeout);
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
@@ -214,6 +248,7 @@
                            Millis since) {
   if (server->heard > since || loop_->now() - since < kSilence) return;
   Retire(server);
+  NoteUnheard(*server);
   Probe(server);
 }
 
@@ -223,6 +258,7 @@
     channel->Close();
     return;
   }
+  NoteHeard(server.get());
   server->belief.unreachable = false;
   std::erase_if(server->idle, [](auto& it) { return !it->IsIdle(); });
   server->idle.push_back(channel);
@@ -246,6 +282,7 @@
                      [this, server, channel](bool ok) {
                        server->probing = false;
                        if (!ok) {
+                         NoteUnheard(*server);
                          Probe(server);
                          return;
                        }
--- a/packages/edge/src/loop.cc
+++ b/packages/edge/src/loop.cc
@@ -9,6 +9,9 @@
 // raced the wait is seen.
 constexpr Millis kLongestWait{1000};
 
+// Handlers that run between two looks at the clock.
+constexpr int kMostInRound = 64;
+
 }  // namespace
 
 Loop::TimerId Loop::At(Millis when, Task task) {
@@ -27,7 +30,8 @@
 }
 
 void Loop::RunDue() {
-  while (!due_.empty() && due_.top().when <= now_) {
+  now_read_ = false;
+  while (!due_.empty() && due_.top().when <= now()) {
     const TimerId id = due_.top().id;
     due_.pop();
     const auto found = tasks_.find(id);
@@ -41,13 +45,11 @@
 void Loop::Run() {
   while (!stopped_) {
     const Millis wait = UntilNext();
-    if (wait > Millis(0)) {
-      // The instant is read by the first handler's Refresh below.
-      io_.run_one_for(wait.ToMicros());
+    now_read_ = false;
+    if (wait > Millis(0)) io_.run_one_for(wait.ToMicros());
+    // Bounded, so that a flood of work can't keep timers from their turn.
+    for (int i = 0; i < kMostInRound && io_.poll_one() > 0; ++i) {
     }
-    now_ = SteadyNow();
-    io_.poll();
-    now_ = SteadyNow();
     RunDue();
   }
 }
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <utility>
 
+#include "hibiscuspick/engine/fan_out.h"
+
 namespace hibiscuspick::edge {
 namespace {
 
@@ -15,6 +17,15 @@
 // costs the budget and tells that the service is full.
 constexpr int kMostRefusals = 3;
 
+// A shard expected to take more than this share of the time to the target is
+// kept back while the least share goes without it.
+constexpr double kDeferShare = 0.6;
+
+// What attempts that only make an answer more complete leave of the budget: a
+// query short of its least share earns a tenth of a whole one, a query without
+// one of twenty parts nine tenths.
+constexpr double kOptionalReserve = 0.0;
+
 std::optional<double> ParseNumber(std::string_view text) {
   int64_t n = 0;
   const auto read = std::from_chars(text.data(), text.data() + text.size(), n);
@@ -72,45 +83,68 @@
   }
   budget_of_ = *std::min_element(services.begin(), services.end());
   engine::CountRequest(&context_->backends->extra(budget_of_), limits, began_);
-  for (size_t i = 0; i < parts_.size() && !done_; ++i) StartPart(i);
-  Check();
+  if (StartParts()) {
+    Check();
+  } else {
+    Fail(QueryFault::kNoServer);
+  }
 }
 
-void QueryRun::StartPart(size_t i) {
-  auto& part = parts_[i];
-  if (TryPart(i, false, false)) return;
-  if (!context_->backends->HasServer(part.service)) {
-    part.failed = true;
-    return;
+// Starts what is to be asked now; false if the least share can't be reached, in
+// which case nothing was started.
+bool QueryRun::StartParts() {
+  std::vector<std::optional<Millis>> expected;
+  for (const auto& it : parts_) {
+    expected.push_back(context_->backends->Expect(it.service, pace_->usual));
   }
+  const auto plan = engine::PlanFanOut(expected, Progress().needed,
+                                       clocks_.answer_at - began_, kDeferShare);
+  if (!plan.possible) return false;
+  for (const size_t i : plan.unreachable) parts_[i].failed = true;
+  for (const size_t i : plan.deferred) {
+    parts_[i].deferred = true;
+  }
+  for (const size_t i : plan.asked) StartPart(i);
+  return true;
+}
+
+void QueryRun::StartPart(size_t i) {
+  parts_[i].deferred = false;
+  if (!TryPart(i, Extra::kNone)) WaitForRoom(i, false);
+}
+
+void QueryRun::WaitForRoom(size_t i, bool extra) {
   Waiting waiting;
   waiting.priority = route_->priority;
   waiting.due = clocks_.answer_at;
-  waiting.start = [self = shared_from_this(), i] {
+  waiting.start = [self = shared_from_this(), i, extra] {
     auto& it = self->parts_[i];
     if (self->done_ || it.in || it.failed) return true;
-    if (!self->TryPart(i, false, false)) return false;
+    if (!self->TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) return false;
     it.waiting.reset();
     self->ArmTimer();
     return true;
   };
-  part.waiting = context_->backends->Enqueue(part.service, std::move(waiting));
+  parts_[i].waiting =
+      context_->backends->Enqueue(parts_[i].service, std::move(waiting));
 }
 
 // Starts one attempt of the part; false if no server takes it, or, for an
 // extra one, if the budget has no room.
-bool QueryRun::TryPart(size_t i, bool extra, bool only_unsuspected) {
+bool QueryRun::TryPart(size_t i, Extra extra) {
   auto& part = parts_[i];
   auto& backends = *context_->backends;
   const Millis now = context_->loop->now();
   const auto& limits = backends.policy().extra;
   auto& budget = backends.extra(budget_of_);
-  if (extra && !engine::HasExtra(budget, limits, now)) return false;
+  const double reserve = extra == Extra::kOptional ? kOptionalReserve : 0;
+  const bool is_extra = extra != Extra::kNone;
+  if (is_extra && !engine::HasExtra(budget, limits, now, reserve)) return false;
   AttemptOrder order = OrderFor(i);
-  order.only_unsuspected = only_unsuspected;
+  order.only_unsuspected = !part.open.empty();
   const auto started = backends.TryStart(std::move(order));
   if (!started) return false;
-  if (extra) {
+  if (is_extra) {
     engine::TakeExtra(&budget, limits, now);
     ++extras_;
   }
@@ -122,7 +156,7 @@
   AttemptOrder order;
   order.service = parts_[i].service;
   order.usual = pace_->usual;
-  order.overdue_after = pace_->hedge_after;
+  order.overdue_after = pace_->overdue_after;
   order.excluded = parts_[i].ran_on;
   for (const auto& it : parts_[i].open) order.excluded.push_back(it.server);
   order.to_head = request_.method == "HEAD";
@@ -221,51 +255,53 @@
   }
   // What was never sent costs the servers nothing and is no extra attempt.
   const bool extra = ran || part.refusals > 0;
-  if (TryPart(i, extra, false)) return;
-  const auto& limits = context_->backends->policy().extra;
-  if (!context_->backends->HasServer(part.service) ||
-      (extra && !engine::HasExtra(context_->backends->extra(budget_of_), limits,
-                                  context_->loop->now()))) {
+  if (TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) return;
+  auto& backends = *context_->backends;
+  if (!backends.Expect(part.service, pace_->usual) ||
+      (extra &&
+       !engine::HasExtra(backends.extra(budget_of_), backends.policy().extra,
+                         context_->loop->now()))) {
     part.failed = true;
     return;
   }
-  Waiting waiting;
-  waiting.priority = route_->priority;
-  waiting.due = clocks_.answer_at;
-  waiting.start = [self = shared_from_this(), i, extra] {
-    auto& it = self->parts_[i];
-    if (self->done_ || it.in || it.failed) return true;
-    if (!self->TryPart(i, extra, false)) return false;
-    it.waiting.reset();
-    self->ArmTimer();
-    return true;
-  };
-  part.waiting = context_->backends->Enqueue(part.service, std::move(waiting));
+  WaitForRoom(i, extra);
+}
+
+bool QueryRun::MayHedge(const Part& part) const {
+  return route_->repeat == Repeat::kIdempotent && route_->attempts > 1 &&
+         part.open.size() == 1 &&
+         part.ran_on.size() < static_cast<size_t>(route_->attempts);
 }
 
-// A part whose only attempt takes longer than usual is asked for at another
-// server, if that one isn't suspected of standing still too.
+// Late parts: those kept back are asked in their place, and, as far as the
+// budget goes, another server than the one that is late.
 void QueryRun::HedgeParts() {
-  if (route_->repeat != Repeat::kIdempotent || route_->attempts < 2) return;
-  const Millis due = context_->loop->now() - pace_->hedge_after;
+  std::vector<engine::PartView> missing;
   for (size_t i = 0; i < parts_.size(); ++i) {
     const auto& part = parts_[i];
-    if (part.in || part.failed || part.open.size() != 1) continue;
-    if (part.open[0].since > due) continue;
-    if (part.ran_on.size() >= static_cast<size_t>(route_->attempts)) continue;
-    TryPart(i, true, true);
+    if (part.in || part.failed) continue;
+    engine::PartView view;
+    view.place = i;
+    view.open = static_cast<int>(part.open.size());
+    view.since = part.open.empty() ? kNever : part.open[0].since;
+    view.deferred = part.deferred;
+    view.may_hedge = MayHedge(part);
+    missing.push_back(view);
   }
+  const auto progress = Progress();
+  const auto plan =
+      engine::PlanHedges(std::move(missing), progress.in, progress.needed,
+                         context_->loop->now() - pace_->hedge_after);
+  for (const size_t i : plan.start) StartPart(i);
+  for (const size_t i : plan.urgent) TryPart(i, Extra::kNeeded);
+  for (const size_t i : plan.optional) TryPart(i, Extra::kOptional);
 }
 
 Millis QueryRun::NextHedge() const {
   Millis next = kNever;
-  if (route_->repeat != Repeat::kIdempotent || route_->attempts < 2) {
-    return next;
-  }
   const Millis now = context_->loop->now();
   for (const auto& part : parts_) {
-    if (part.in || part.failed || part.open.size() != 1) continue;
-    if (part.ran_on.size() >= static_cast<size_t>(route_->attempts)) continue;
+    if (part.in || part.failed || !MayHedge(part)) continue;
     // One that is due already found no server or no budget: it looks again
     // after a quarter of the time.
     Millis at = part.open[0].since + pace_->hedge_after;
@@ -284,13 +320,14 @@
           : 1;
   for (const auto& it : parts_) {
     progress.in += it.in ? 1 : 0;
-    progress.failed += it.failed && !it.in ? 1 : 0;
+    progress.failed += (it.failed || it.deferred) && !it.in ? 1 : 0;
   }
   return progress;
 }
 
 void QueryRun::Check() {
   if (done_) return;
+  StartKeptBack();
   switch (engine::NextStep(Progress(), clocks_, context_->loop->now())) {
     case GatherStep::kAnswer:
       Answer();
@@ -306,6 +343,23 @@
   }
 }
 
+// Asks parts that were kept back once the least share needs them: others have
+// failed, or the time at which an answer is worth most has come.
+void QueryRun::StartKeptBack() {
+  const auto progress = Progress();
+  size_t asked = 0;
+  for (const auto& it : parts_) asked += !it.failed && !it.deferred ? 1 : 0;
+  const bool late = context_->loop->now() >= clocks_.answer_at;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    if (!parts_[i].deferred) continue;
+    if (asked >= progress.needed && !(late && progress.in < progress.needed)) {
+      continue;
+    }
+    StartPart(i);
+    ++asked;
+  }
+}
+
 void QueryRun::ArmTimer() {
   if (done_) return;
   context_->loop->Cancel(timer_);
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -36,7 +36,7 @@
   policy.on_request = [this](const auto& session, HttpRequest request) {
     OnRequest(session, std::move(request));
   };
-  policy.closing = [this] { return stopping_; };
+  policy.closing = [this] { return stopping_ || useless_; };
   return policy;
 }
 
@@ -53,6 +53,34 @@
   return policy;
 }
 
+bool TrafficServer::IsReady() {
+  const bool useless = IsUseless();
+  if (useless != useless_) {
+    Log(Part::kFront)
+        .warn(useless ? "cut off from the other data centres: not ready"
+                      : "other data centres are back: ready");
+  }
+  useless_ = useless;
+  return config_ && has_servers_ && !stopping_ && !useless_;
+}
+
+bool TrafficServer::IsUseless() {
+  if (!config_ || !backends_.IsCutOff()) return false;
+  for (const auto& route : config_->routes) {
+    if (!route.gather || !paces_.contains(route.id)) continue;
+    const auto& shards = route.gather->shards;
+    size_t reachable = 0;
+    for (const auto& it : shards) {
+      reachable += backends_.Expect(it, route.target) ? 1 : 0;
+    }
+    if (reachable <
+        engine::PartsNeeded(route.gather->least_share, shards.size())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Result<Done> TrafficServer::Listen() {
   auto listened = callers_.Listen(settings_.callers);
   if (!IsOk(listened)) return listened;
--- a/packages/engine/include/hibiscuspick/engine/extra_budget.h
+++ b/packages/engine/include/hibiscuspick/engine/extra_budget.h
@@ -35,8 +35,10 @@
 // Notes a request for the service.
 void CountRequest(ExtraBudget* budget, const ExtraLimits& limits, Millis now);
 
-// Whether one more extra attempt fits into the window that ends now.
-bool HasExtra(const ExtraBudget& budget, const ExtraLimits& limits, Millis now);
+// Whether one more extra attempt fits into the window that ends now, with the
+// share `reserve` of what is allowed left for those who need it more.
+bool HasExtra(const ExtraBudget& budget, const ExtraLimits& limits, Millis now,
+              double reserve = 0);
 
 // Takes one extra attempt if it fits; false if it doesn't.
 bool TakeExtra(ExtraBudget* budget, const ExtraLimits& limits, Millis now);
--- a/packages/engine/src/extra_budget.cc
+++ b/packages/engine/src/extra_budget.cc
@@ -23,8 +23,8 @@
   ++Current(budget, limits, now)->requests;
 }
 
-bool HasExtra(const ExtraBudget& budget, const ExtraLimits& limits,
-              Millis now) {
+bool HasExtra(const ExtraBudget& budget, const ExtraLimits& limits, Millis now,
+              double reserve) {
   const int64_t number = SliceNumber(limits, now);
   const auto span = static_cast<int64_t>(ExtraBudget::kSlices);
   uint64_t requests = 0;
@@ -38,7 +38,7 @@
   }
   const double allowed =
       limits.ratio * static_cast<double>(requests) + limits.slack;
-  return static_cast<double>(extras) + 1 <= allowed;
+  return static_cast<double>(extras) + 1 <= allowed * (1 - reserve);
 }
 
 bool TakeExtra(ExtraBudget* budget, const ExtraLimits& limits, Millis now) {
--- a/packages/engine/src/route_pace.cc
+++ b/packages/engine/src/route_pace.cc
@@ -10,9 +10,11 @@
 constexpr uint32_t kUpdateEvery = 32;
 constexpr uint64_t kFirstSamples = 16;
 
-// The share of attempts that get no second one. With one in twenty hedged and
-// one in twenty-five met by a pause the budget of one in five keeps room for
-// retries.
+// The share of attempts that are on time. A fan-out to 20 shards has one late
+// attempt a query at 0.95: right for suspecting a server, which costs nothing.
+// A second attempt has to be paid from a budget of one for five queries, so it
+// waits until 0.98.
+constexpr double kOverdueQuantile = 0.95;
 constexpr double kHedgeQuantile = 0.95;
 
 // Bounds as shares of the target: sooner is noise; later leaves no time for the
@@ -28,6 +30,7 @@
 RoutePace FirstPace(Millis target) {
   RoutePace pace;
   pace.usual = target * kFirstUsual;
+  pace.overdue_after = target * kFirstHedge;
   pace.hedge_after = target * kFirstHedge;
   return pace;
 }
@@ -41,9 +44,12 @@
   if (pace->samples < kFirstSamples) return;
   pace->since_update = 0;
   pace->usual = limits::Quantile(pace->sketch, 0.5);
-  const Millis late = limits::Quantile(pace->sketch, kHedgeQuantile);
-  pace->hedge_after =
-      Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
+  const auto bounded = [&](double quantile) {
+    const Millis late = limits::Quantile(pace->sketch, quantile);
+    return Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
+  };
+  pace->overdue_after = bounded(kOverdueQuantile);
+  pace->hedge_after = bounded(kHedgeQuantile);
 }
 
 Millis SpentBefore(RoutePace* pace, Millis will_wait) {
--- a/packages/engine/src/server_belief.cc
+++ b/packages/engine/src/server_belief.cc
@@ -10,9 +10,9 @@
 // after two replies, one slow reply is forgotten after ten.
 constexpr double kReplyWeight = 0.25;
 
-// A reply counts at most this much: one that met a pause says little of the
-// next.
-constexpr double kMostSlowness = 30;
+// A reply counts at most twice the factor so far and this much more: one that
+// met a pause says little of the next, several slow ones in a row do.
+constexpr double kSurprise = 2;
 
 // How much slower a server is that just started.
 constexpr double kWarmupFactor = 1.6;
@@ -88,11 +88,11 @@
   }
   Forget(server, attempt);
   server->failures_in_row = 0;
-  const double factor =
-      std::min(latency.count / std::max(usual.count, 0.1), kMostSlowness);
   const double before = 1 + (server->slowness - 1) *
                                 std::exp2(-(now - server->slowness_at).count /
                                           policy.slowness_half_life.count);
+  const double factor = std::min(latency.count / std::max(usual.count, 0.1),
+                                 2 * before + kSurprise);
   server->slowness = before + kReplyWeight * (factor - before);
   server->slowness_at = now;
 }
