--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -15,6 +15,7 @@
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/engine/extra_budget.h"
+#include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/server_belief.h"
 
 namespace hibiscuspick::edge {
@@ -111,10 +112,10 @@
   const BackendsPolicy& policy() const { return policy_; }
   // Attempts with a server, and parts waiting for one.
   size_t open_attempts() const { return attempts_.size(); }
-  // What an attempt at the service is expected to take now, room or not;
-  // nothing if none of its servers can be reached.
-  std::optional<Millis> Expect(const ServiceId& service, Millis usual,
-                               Millis due) const;
+  // What a part due at that instant would meet at the service; nothing if none
+  // of its servers can be reached.
+  std::optional<engine::ShardOutlook> Outlook(const ServiceId& service,
+                                              Millis usual, Millis due) const;
   // Whether every try at the servers of other data centres has failed for a
   // while: the instance's data centre is cut off.
   bool IsCutOff() const;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -37,6 +37,8 @@
   kNoServer,
   // Waited in vain for room: it has not run.
   kNoRoom,
+  // Refused, as its shards' queues are too long: it has not run.
+  kOverloaded,
   // Servers failed it; it may have run.
   kServersFailed,
   // The caller's time, or the route's, is up.
@@ -108,6 +110,7 @@
 
   void ReadClocks();
   void StartPart(size_t i);
+  // False if the query was answered at once.
   bool StartParts();
   void WaitForRoom(size_t i, bool extra);
   bool TryPart(size_t i, Extra extra);
@@ -149,6 +152,8 @@
   Millis began_;
   Loop::TimerId timer_ = 0;
   size_t extras_ = 0;
+  bool returning_ = false;
+  Millis retry_after_{50};
   bool done_ = false;
 };
 
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -54,8 +54,9 @@
       std::max(1, connections / std::max(1, policy_.instances));
 }
 
-std::optional<Millis> Backends::Expect(const ServiceId& service, Millis usual,
-                                       Millis due) const {
+std::optional<engine::ShardOutlook> Backends::Outlook(const ServiceId& service,
+                                                      Millis usual,
+                                                      Millis due) const {
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
   const auto& state = *found->second;
@@ -70,11 +71,14 @@
     at_once += static_cast<double>(engine::OpenLimit(belief, policy_.choice)) *
                (usual.count / cost.count);
   }
-  if (!fastest || state.waiting.empty()) return fastest;
+  if (!fastest) return std::nullopt;
+  engine::ShardOutlook outlook{Millis(0), *fastest};
+  if (state.waiting.empty()) return outlook;
   const auto behind = state.waiting.upper_bound({false, due.count, 0, 0});
   const auto ahead =
       static_cast<double>(std::distance(state.waiting.begin(), behind));
-  return *fastest + usual * (ahead / std::max(at_once, kLeastAtOnce));
+  outlook.wait = usual * (ahead / std::max(at_once, kLeastAtOnce));
+  return outlook;
 }
 
 bool Backends::IsCutOff() const {
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -1,4 +1,6 @@
 // How a request ends: its answer, its failure, its caller leaving.
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -7,9 +9,7 @@
 namespace hibiscuspick::edge {
 namespace {
 
-// When a caller that was refused may try again: long enough for another
-// instance or a drained queue, short enough to be within its target.
-constexpr std::string_view kRetryAfterSeconds = "0.05";
+constexpr double kSecond = 1000;
 
 }  // namespace
 
@@ -21,6 +21,8 @@
       return "no_server";
     case QueryFault::kNoRoom:
       return "no_room";
+    case QueryFault::kOverloaded:
+      return "overloaded";
     case QueryFault::kServersFailed:
       return "servers_failed";
     case QueryFault::kTimeUp:
@@ -73,7 +75,8 @@
   reply.headers.push_back({context_->names->request_id, request_id_});
   reply.headers.push_back({"Content-Type", "application/json"});
   if (status == 503) {
-    reply.headers.push_back({"Retry-After", std::string(kRetryAfterSeconds)});
+    reply.headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", retry_after_.count / kSecond)});
   }
   reply.body = R"({"error":")" + std::string(FaultName(fault)) + R"("})";
   return reply;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -17,6 +17,10 @@
 // costs the budget and tells that the service is full.
 constexpr int kMostRefusals = 3;
 
+// A caller that has waited for longer than a new connection takes has been here
+// before.
+constexpr Millis kReturningAfter{30};
+
 // A shard expected to take more than this share of the time to the target is
 // kept back while the least share goes without it.
 constexpr double kDeferShare = 0.6;
@@ -67,6 +71,7 @@
   if (const auto n = ParseNumber(header); n && *n > 0) {
     const Millis said(*n);
     spent = engine::SpentBefore(pace_, said);
+    returning_ = spent > kReturningAfter;
     wait = Min(wait, said - context_->end_margin);
   }
   clocks_.end_at = began_ + wait;
@@ -83,28 +88,33 @@
   }
   budget_of_ = *std::min_element(services.begin(), services.end());
   engine::CountRequest(&context_->backends->extra(budget_of_), limits, began_);
-  if (StartParts()) {
-    Check();
-  } else {
-    Fail(QueryFault::kNoServer);
-  }
+  if (StartParts()) Check();
 }
 
-// Starts what is to be asked now; false if the least share can't be reached, in
-// which case nothing was started.
+// Starts what is to be asked now, or answers that nothing was.
 bool QueryRun::StartParts() {
-  std::vector<std::optional<Millis>> expected;
+  std::vector<std::optional<engine::ShardOutlook>> outlooks;
   for (const auto& it : parts_) {
-    expected.push_back(context_->backends->Expect(it.service, pace_->usual,
-                                                  clocks_.answer_at));
+    outlooks.push_back(context_->backends->Outlook(it.service, pace_->usual,
+                                                   clocks_.answer_at));
   }
-  const auto plan = engine::PlanFanOut(expected, Progress().needed,
-                                       clocks_.answer_at - began_, kDeferShare);
-  if (!plan.possible) return false;
-  for (const size_t i : plan.unreachable) parts_[i].failed = true;
-  for (const size_t i : plan.deferred) {
-    parts_[i].deferred = true;
+  const size_t needed = Progress().needed;
+  const Millis to_target = clocks_.answer_at - began_;
+  const auto admission = engine::Admit(
+      outlooks, needed, {to_target, clocks_.end_at - began_, returning_});
+  if (!admission.admitted) {
+    retry_after_ = admission.retry_after;
+    Fail(QueryFault::kOverloaded);
+    return false;
   }
+  const auto plan =
+      engine::PlanFanOut(outlooks, needed, to_target, kDeferShare);
+  if (!plan.possible) {
+    Fail(QueryFault::kNoServer);
+    return false;
+  }
+  for (const size_t i : plan.unreachable) parts_[i].failed = true;
+  for (const size_t i : plan.deferred) parts_[i].deferred = true;
   for (const size_t i : plan.asked) StartPart(i);
   return true;
 }
@@ -261,7 +271,7 @@
   const bool extra = ran || part.refusals > 0;
   if (TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) return;
   auto& backends = *context_->backends;
-  if (!backends.Expect(part.service, pace_->usual, clocks_.answer_at) ||
+  if (!backends.Outlook(part.service, pace_->usual, clocks_.answer_at) ||
       (extra &&
        !engine::HasExtra(backends.extra(budget_of_), backends.policy().extra,
                          context_->loop->now()))) {
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -71,7 +71,7 @@
     const auto& shards = route.gather->shards;
     size_t reachable = 0;
     for (const auto& it : shards) {
-      reachable += backends_.Expect(it, route.target, loop_->now()) ? 1 : 0;
+      reachable += backends_.Outlook(it, route.target, loop_->now()) ? 1 : 0;
     }
     if (reachable <
         engine::PartsNeeded(route.gather->least_share, shards.size())) {
--- a/packages/engine/include/hibiscuspick/engine/fan_out.h
+++ b/packages/engine/include/hibiscuspick/engine/fan_out.h
@@ -10,6 +10,16 @@
 
 namespace hibiscuspick::engine {
 
+// What a part of a new query would meet at a shard.
+struct ShardOutlook {
+  // Behind parts that are due sooner.
+  Millis wait;
+  // An attempt at its fastest server.
+  Millis service;
+};
+
+inline Millis Total(const ShardOutlook& it) { return it.wait + it.service; }
+
 struct FanOutPlan {
   // False if the least share can't be reached: the query fails before any
   // server works for it.
@@ -20,17 +30,41 @@
   std::vector<size_t> unreachable;
 };
 
-// `expected`: what an attempt at each shard is expected to take, nothing if no
-// server of it can be reached. A shard that is expected to answer after
+// `outlooks`: one for each shard, nothing if no server of it can be reached. A
+// shard that is expected to answer after
 // `defer_share` of the time left is kept back, as far as the least share goes
 // without it: it is overloaded or slow, each part not asked there lets another
 // query's part be on time, and its first attempt stays free for later.
 //
 // Answers: one server of a shard lost or slowed tenfold leaves the other at
 // 2.0 of its 2 slots. Without this, all queries were late for those seconds.
-FanOutPlan PlanFanOut(const std::vector<std::optional<Millis>>& expected,
+FanOutPlan PlanFanOut(const std::vector<std::optional<ShardOutlook>>& outlooks,
                       size_t needed, Millis time_left, double defer_share);
 
+// Whether a query begins, as a whole.
+struct Admission {
+  bool admitted = true;
+  // When the queues that stand in the way will have drained.
+  Millis retry_after;
+};
+
+// The time that a new query has, and whether its caller was refused before.
+struct QueryTimes {
+  Millis to_target;
+  Millis to_end;
+  bool returning = false;
+};
+
+// Refuses a query whose least share of shards is not expected in time: by the
+// caller's deadline, since then all its parts would be work for nothing; or by
+// the target, if it is queues that make it late. Then each query let in makes
+// the next ones late too, and those who are told at once when to come back are
+// served sooner than by waiting. A caller that did come back is let in.
+//
+// Answers: 15 % more than a shard's servers can do, for some seconds.
+Admission Admit(const std::vector<std::optional<ShardOutlook>>& outlooks,
+                size_t needed, const QueryTimes& times);
+
 // One shard of a query in flight.
 struct PartView {
   size_t place = 0;
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -58,6 +58,9 @@
   // weighing more.
   double slowness = 1;
   Millis slowness_at;
+  // The share of attempts that failed, recent ones weighing more.
+  double failing = 0;
+  Millis failing_at;
 };
 
 // Origin of each figure: docs/notes/platform.md.
@@ -72,6 +75,10 @@
   Millis slowness_half_life{3000};
   // What a server costs more while an attempt there is overdue.
   Millis suspected_cost{150};
+  // How fast a record of failures fades, and what a sure failure costs more in
+  // multiples of the usual time: about what is left of a target.
+  Millis failing_half_life{4000};
+  double failure_cost = 2;
   // The first pause after a failure, doubled for each in a row.
   Millis first_avoidance{25};
   Millis longest_avoidance{1000};
--- a/packages/engine/src/fan_out.cc
+++ b/packages/engine/src/fan_out.cc
@@ -3,28 +3,58 @@
 #include <algorithm>
 
 namespace hibiscuspick::engine {
+namespace {
 
-FanOutPlan PlanFanOut(const std::vector<std::optional<Millis>>& expected,
+// A query is late because of queues if the wait alone takes this share of its
+// time; below it the servers are slow, and refusing makes them no faster.
+constexpr double kWaitShare = 0.5;
+
+// Sooner than this the queue is what it was.
+constexpr Millis kSoonestReturn{50};
+
+}  // namespace
+
+FanOutPlan PlanFanOut(const std::vector<std::optional<ShardOutlook>>& outlooks,
                       size_t needed, Millis time_left, double defer_share) {
   FanOutPlan plan;
   std::vector<size_t> reachable;
-  for (size_t i = 0; i < expected.size(); ++i) {
-    (expected[i] ? reachable : plan.unreachable).push_back(i);
+  for (size_t i = 0; i < outlooks.size(); ++i) {
+    (outlooks[i] ? reachable : plan.unreachable).push_back(i);
   }
   plan.possible = reachable.size() >= needed;
   if (!plan.possible) return plan;
   std::stable_sort(reachable.begin(), reachable.end(), [&](size_t a, size_t b) {
-    return *expected[a] < *expected[b];
+    return Total(*outlooks[a]) < Total(*outlooks[b]);
   });
   const Millis bound = Max(time_left, Millis(0)) * defer_share;
   for (size_t n = 0; n < reachable.size(); ++n) {
     const size_t i = reachable[n];
-    const bool kept_back = n >= needed && *expected[i] > bound;
+    const bool kept_back = n >= needed && Total(*outlooks[i]) > bound;
     (kept_back ? plan.deferred : plan.asked).push_back(i);
   }
   return plan;
 }
 
+Admission Admit(const std::vector<std::optional<ShardOutlook>>& outlooks,
+                size_t needed, const QueryTimes& times) {
+  std::vector<ShardOutlook> reachable;
+  for (const auto& it : outlooks) {
+    if (it) reachable.push_back(*it);
+  }
+  Admission admission;
+  if (reachable.size() < needed || needed == 0) return admission;
+  const auto last = reachable.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+  std::nth_element(reachable.begin(), last, reachable.end(),
+                   [](auto& a, auto& b) { return Total(a) < Total(b); });
+  const bool hopeless = Total(*last) > times.to_end;
+  const bool crowded = !times.returning && Total(*last) > times.to_target &&
+                       last->wait > times.to_target * kWaitShare;
+  admission.admitted = !hopeless && !crowded;
+  admission.retry_after =
+      Max(kSoonestReturn, Total(*last) - Max(times.to_target, Millis(0)));
+  return admission;
+}
+
 HedgePlan PlanHedges(std::vector<PartView> missing, size_t in, size_t needed,
                      Millis late_before) {
   std::stable_sort(missing.begin(), missing.end(),
--- a/packages/engine/src/server_belief.cc
+++ b/packages/engine/src/server_belief.cc
@@ -10,6 +10,9 @@
 // after two replies, one slow reply is forgotten after ten.
 constexpr double kReplyWeight = 0.25;
 
+// The weight of one outcome in the share of failures.
+constexpr double kOutcomeWeight = 0.2;
+
 // A reply counts at most twice the factor so far and this much more: one that
 // met a pause says little of the next, several slow ones in a row do.
 constexpr double kSurprise = 2;
@@ -28,6 +31,19 @@
 // How much slower a server is that just started.
 constexpr double kWarmupFactor = 1.6;
 
+double FailingNow(const ServerBelief& server, const ChoicePolicy& policy,
+                  Millis now) {
+  const double age = (now - server.failing_at).count;
+  return server.failing * std::exp2(-age / policy.failing_half_life.count);
+}
+
+void NoteOutcome(ServerBelief* server, bool failed, const ChoicePolicy& policy,
+                 Millis now) {
+  const double before = FailingNow(*server, policy, now);
+  server->failing = before + kOutcomeWeight * ((failed ? 1 : 0) - before);
+  server->failing_at = now;
+}
+
 void Forget(ServerBelief* server, AttemptId attempt) {
   std::erase_if(server->open,
                 [&](const OpenAttempt& it) { return it.id == attempt; });
@@ -83,6 +99,7 @@
   if (server.entry.data_centre != policy.own_data_centre) {
     cost += policy.remote_cost;
   }
+  cost += usual * (policy.failure_cost * FailingNow(server, policy, now));
   if (IsSuspected(server, now)) cost += policy.suspected_cost;
   return cost;
 }
@@ -118,6 +135,7 @@
     }
   }
   Forget(server, attempt);
+  NoteOutcome(server, false, policy, now);
   server->failures_in_row = 0;
   const double before = 1 + (server->slowness - 1) *
                                 std::exp2(-(now - server->slowness_at).count /
@@ -132,6 +150,7 @@
 void NoteFailure(ServerBelief* server, AttemptId attempt,
                  const ChoicePolicy& policy, Millis now) {
   Forget(server, attempt);
+  NoteOutcome(server, true, policy, now);
   const int doublings = std::min(server->failures_in_row, 10);
   ++server->failures_in_row;
   const Millis pause = Min(policy.first_avoidance * std::exp2(doublings),
