Broken exchanges are told; tests of the engine and of the traffic path

Cause: HttpChannel::Finish closed the channel, which dropped the callback it was about to call: a reset or cut answer, and a good one on a connection that can't be used again, was heard of only when the caller's time was up. Seen by the first tests over loopback (reset after it was sent: 504 after 2 s, not 502).

--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -87,9 +87,9 @@
   const bool reusable = end == ExchangeEnd::kReply && reply.keep_alive &&
                         !reply.until_close && !tainted_ && in_.empty() &&
                         stream_->IsFlushed();
-  if (!reusable) Close();
   const auto on_reply = std::exchange(exchange_.on_reply, nullptr);
   exchange_ = {};
+  if (!reusable) Close();
   if (on_reply) on_reply(end, std::move(reply));
 }
 
--- /dev/null
+++ b/packages/edge/tests/bad_requests_test.cc
@@ -0,0 +1,104 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+#include "traffic_fixture.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::edge {
+namespace {
+
+struct BadRow {
+  const char* name;
+  std::string text;
+  int status;
+};
+
+std::ostream& operator<<(std::ostream& out, const BadRow& row) {
+  return out << row.name;
+}
+
+const std::string kHead = "POST /p/x HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\n";
+
+const BadRow kBad[] = {
+    {"two lengths",
+     kHead + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+    {"length and chunks",
+     kHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     400},
+    {"chunks and length",
+     kHead + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+     400},
+    {"bare line ends", "GET /p/x HTTP/1.1\nHost: h\n\n", 400},
+    {"a space in a name", kHead + "Content-Length : 3\r\n\r\nabc", 400},
+    {"a folded header", kHead + "A: b\r\n c\r\nX Y: z\r\n\r\n", 400},
+    {"no HTTP", "hello\r\n\r\n", 400},
+    {"a length that is none", kHead + "Content-Length: -1\r\n\r\n", 400},
+    {"a chunk that is none", kHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+     400},
+    {"a header too long", kHead + "A: " + std::string(20000, 'a') + "\r\n\r\n",
+     431},
+    {"a body too long", kHead + "Content-Length: 300000\r\n\r\n", 413},
+    {"a chunked body too long",
+     kHead + "Transfer-Encoding: chunked\r\n\r\n50000\r\n" +
+         std::string(0x50000, 'a') + "\r\n",
+     413},
+};
+
+// Requests that can be read in two ways are how one caller's bytes become
+// another's request at a server. None of them may reach one.
+BOOST_DATA_TEST_CASE(RefusedBeforeAnyServer, bdata::make(kBad), row) {
+  TrafficFixture fixture;
+  fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
+  auto& server = fixture.AddServer("s", [](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, "s", "")};
+  });
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say(row.text);
+  const auto answer = client.Hear();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 " + std::to_string(row.status)));
+  BOOST_TEST(HeaderIn(answer, "Connection") == "close");
+  BOOST_TEST(server.requests().empty());
+}
+
+// Callers may send the next request before the answer to the last.
+BOOST_AUTO_TEST_CASE(EarlyRequestsAreAnsweredInOrder) {
+  TrafficFixture fixture;
+  fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
+  fixture.AddServer("s", [](const std::string& request) {
+    return Scripted{.text = GoodAnswer(
+                        request, "s", request.substr(0, request.find(' ', 4)))};
+  });
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say(TrafficFixture::RequestText("GET /p/1") +
+             TrafficFixture::RequestText("GET /p/2", "Connection: close\r\n"));
+  const auto answers = client.Hear();
+  const size_t first = answers.find("GET /p/1");
+  const size_t second = answers.find("GET /p/2");
+  BOOST_TEST(first != std::string::npos);
+  BOOST_TEST(second != std::string::npos);
+  BOOST_TEST(first < second);
+}
+
+// A body in chunks reaches the server with the same bytes.
+BOOST_AUTO_TEST_CASE(ChunkedBodiesArePassedOn) {
+  TrafficFixture fixture;
+  fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
+  auto& server = fixture.AddServer("s", [](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, "s", "")};
+  });
+  fixture.Publish();
+  const auto answer = fixture.Ask(
+      "POST /p/x",
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(server.requests().at(0).ends_with("\r\n\r\nabcde"));
+  BOOST_TEST(server.requests().at(0).find("chunked") == std::string::npos);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/tests/raw_sockets.h
@@ -0,0 +1,186 @@
+// Plain blocking sockets for tests, so that what is tested isn't also the
+// tool: a client that says any bytes, and a server that answers any bytes.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/base/address.h"
+
+namespace hibiscuspick::edge {
+
+inline sockaddr_in Loopback(uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+// A listening socket on a free port.
+inline std::pair<int, uint16_t> ListenAnywhere() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t n = sizeof(address);
+  bind(fd, reinterpret_cast<sockaddr*>(&address), n);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
+  listen(fd, 64);
+  return {fd, ntohs(address.sin_port)};
+}
+
+// A port that nobody listens on.
+inline uint16_t FreePort() {
+  const auto [fd, port] = ListenAnywhere();
+  close(fd);
+  return port;
+}
+
+class RawClient {
+ public:
+  explicit RawClient(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = Loopback(port);
+    (void)connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address));
+  }
+  ~RawClient() { Close(); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  void Close() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+  }
+  void Say(const std::string& text) {
+    (void)send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+  // All that comes until the other side ends, `until` is seen or nothing comes
+  // for ten seconds.
+  std::string Hear(const std::string& until = "") {
+    constexpr int kPatience = 10000;
+    std::string heard;
+    while (until.empty() || heard.find(until) == std::string::npos) {
+      pollfd wait{fd_, POLLIN, 0};
+      if (poll(&wait, 1, kPatience) <= 0) break;
+      char buf[4096];
+      const ssize_t n = recv(fd_, buf, sizeof(buf), 0);
+      if (n <= 0) break;
+      heard.append(buf, static_cast<size_t>(n));
+    }
+    return heard;
+  }
+
+ private:
+  int fd_;
+};
+
+// What a scripted server does with one request.
+struct Scripted {
+  // Said as it is.
+  std::string text;
+  // Ends the connection after it.
+  bool closes = false;
+  // Ends it with a reset.
+  bool resets = false;
+  // Says nothing and waits until the other side ends.
+  bool silent = false;
+  int wait_ms = 0;
+};
+
+class RawServer {
+ public:
+  using Script = std::function<Scripted(const std::string& request)>;
+
+  explicit RawServer(Script script) : script_(std::move(script)) {
+    std::tie(listener_, port_) = ListenAnywhere();
+    acceptor_ = std::thread([this] { Accept(); });
+  }
+  ~RawServer() {
+    stopping_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    close(listener_);
+    acceptor_.join();
+    {
+      const std::lock_guard lock(mutex_);
+      for (const int fd : open_) shutdown(fd, SHUT_RDWR);
+    }
+    for (auto& it : threads_) it.join();
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  uint16_t port() const { return port_; }
+  std::vector<std::string> requests() {
+    const std::lock_guard lock(mutex_);
+    return requests_;
+  }
+  // Connections that the other side ended while a request was unanswered.
+  int abandoned() const { return abandoned_; }
+
+ private:
+  void Accept() {
+    while (!stopping_) {
+      const int fd = accept(listener_, nullptr, nullptr);
+      if (fd < 0) return;
+      const std::lock_guard lock(mutex_);
+      open_.push_back(fd);
+      threads_.emplace_back([this, fd] { Serve(fd); });
+    }
+  }
+  void Serve(int fd) {
+    std::string in;
+    char buf[4096];
+    while (true) {
+      const size_t end = in.find("\r\n\r\n");
+      if (end == std::string::npos) {
+        const ssize_t n = recv(fd, buf, sizeof(buf), 0);
+        if (n <= 0) break;
+        in.append(buf, static_cast<size_t>(n));
+        continue;
+      }
+      const std::string request = std::exchange(in, "");
+      {
+        const std::lock_guard lock(mutex_);
+        requests_.push_back(request);
+      }
+      const Scripted act = script_(request);
+      if (act.wait_ms > 0) usleep(static_cast<useconds_t>(act.wait_ms) * 1000);
+      if (act.silent) {
+        if (recv(fd, buf, sizeof(buf), 0) <= 0) ++abandoned_;
+        break;
+      }
+      (void)send(fd, act.text.data(), act.text.size(), MSG_NOSIGNAL);
+      if (act.resets) {
+        const linger hard{1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+      }
+      if (act.closes || act.resets) break;
+    }
+    const std::lock_guard lock(mutex_);
+    std::erase(open_, fd);
+    close(fd);
+  }
+
+  const Script script_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> abandoned_{0};
+  std::thread acceptor_;
+  std::mutex mutex_;
+  std::vector<int> open_;
+  std::vector<std::thread> threads_;
+  std::vector<std::string> requests_;
+};
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/tests/traffic_fixture.h
@@ -0,0 +1,167 @@
+// A traffic server on loopback with scripted backend servers.
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "hibiscuspick/edge/traffic_server.h"
+#include "raw_sockets.h"
+
+namespace hibiscuspick::edge {
+
+inline WireNames TestNames() {
+  return {.request_id = "Q-Id",
+          .deadline = "Q-Deadline",
+          .stamp = "Q-Stamp",
+          .expect_instance = "Q-Expect",
+          .not_run = "Q-Not-Run",
+          .part_stamps = "Q-Stamps",
+          .parts_missing = "Q-Missing"};
+}
+
+// The value of a header in a message's text; empty if it has none.
+inline std::string HeaderIn(const std::string& text, const std::string& name) {
+  const std::string key = "\r\n" + name + ": ";
+  const size_t at = text.find(key);
+  if (at == std::string::npos) return "";
+  const size_t begin = at + key.size();
+  return text.substr(begin, text.find("\r\n", begin) - begin);
+}
+
+// A good answer to the request.
+inline std::string GoodAnswer(const std::string& request,
+                              const std::string& stamp,
+                              const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nQ-Id: " + HeaderIn(request, "Q-Id") +
+         "\r\nQ-Stamp: " + stamp +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+class TrafficFixture {
+ public:
+  TrafficFixture() {
+    TrafficSettings settings;
+    settings.callers = {"127.0.0.1", FreePort()};
+    settings.readiness = {"127.0.0.1", FreePort()};
+    settings.readiness_path = "/ready";
+    settings.names = TestNames();
+    settings.backends.choice.own_data_centre = DataCentreId("dc");
+    settings.backends.extra.slack = 10;
+    settings.stop_refuse = Millis(200);
+    settings.stop_answer = Millis(600);
+    settings.stop_end = Millis(900);
+    port_ = settings.callers.port;
+    ready_port_ = settings.readiness.port;
+    server_ = std::make_unique<TrafficServer>(&loop_, settings);
+    listened_ = IsOk(server_->Listen());
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+  ~TrafficFixture() {
+    loop_.Stop();
+    thread_.join();
+  }
+
+  // A backend server of the service that does what the script says.
+  RawServer& AddServer(const std::string& service, RawServer::Script script) {
+    servers_.push_back(std::make_unique<RawServer>(std::move(script)));
+    engine::ServerEntry entry;
+    entry.id = BackendServerId("server-" + std::to_string(servers_.size()));
+    entry.service = ServiceId(service);
+    entry.address = {"127.0.0.1", servers_.back()->port()};
+    entry.data_centre = DataCentreId("dc");
+    entries_.push_back(entry);
+    config_.services[entry.service] = {entry.service, 32};
+    return *servers_.back();
+  }
+  std::vector<engine::ServerEntry>& entries() { return entries_; }
+
+  engine::Route& AddRoute(const std::string& prefix) {
+    engine::Route route;
+    route.id = RouteId("route" + prefix);
+    route.host = "h";
+    route.prefix = prefix;
+    route.timeout = Millis(3000);
+    route.target = Millis(400);
+    route.attempts = 2;
+    config_.routes.push_back(route);
+    return config_.routes.back();
+  }
+
+  // Puts routes and servers in force.
+  void Publish(uint64_t version = 1) {
+    auto config = std::make_shared<engine::TrafficConfig>(config_);
+    config->version = version;
+    engine::IndexRoutes(config.get());
+    OnLoop([&] {
+      server_->SetConfig(config);
+      server_->SetServers(entries_);
+    });
+  }
+
+  // Runs on the loop's thread and waits for it.
+  void OnLoop(const std::function<void()>& task) {
+    std::mutex mutex;
+    std::condition_variable done;
+    bool ran = false;
+    loop_.Post([&] {
+      task();
+      const std::lock_guard lock(mutex);
+      ran = true;
+      done.notify_one();
+    });
+    std::unique_lock lock(mutex);
+    done.wait(lock, [&] { return ran; });
+  }
+
+  static std::string RequestText(const std::string& line,
+                                 const std::string& more = "") {
+    return line + " HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\nQ-Deadline: 2000\r\n" +
+           more + "\r\n";
+  }
+  // Asks on a connection of its own and gives the whole answer.
+  std::string Ask(const std::string& line, const std::string& more = "") const {
+    RawClient client(port_);
+    client.Say(RequestText(line, "Connection: close\r\n" + more));
+    return client.Hear();
+  }
+  std::string AskReady() const {
+    RawClient client(ready_port_);
+    client.Say("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+    return client.Hear();
+  }
+
+  uint16_t port() const { return port_; }
+  bool listened() const { return listened_; }
+  TrafficServer& server() { return *server_; }
+  Loop& loop() { return loop_; }
+
+ private:
+  Loop loop_;
+  uint16_t port_ = 0;
+  uint16_t ready_port_ = 0;
+  bool listened_ = false;
+  engine::TrafficConfig config_;
+  std::vector<engine::ServerEntry> entries_;
+  std::vector<std::unique_ptr<RawServer>> servers_;
+  std::unique_ptr<TrafficServer> server_;
+  std::thread thread_;
+};
+
+// Waits until it holds, ten seconds at most.
+inline bool Eventually(const std::function<bool()>& holds) {
+  for (int i = 0; i < 1000; ++i) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/edge/tests/traffic_test.cc
@@ -0,0 +1,317 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+#include "traffic_fixture.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::edge {
+namespace {
+
+bool IsStatus(const std::string& answer, int status) {
+  return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+std::string BodyOf(const std::string& answer) {
+  const size_t at = answer.find("\r\n\r\n");
+  return at == std::string::npos ? "" : answer.substr(at + 4);
+}
+
+RawServer::Script Answers(const std::string& stamp, const std::string& body) {
+  return [=](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, stamp, body)};
+  };
+}
+
+// One service behind "/p/".
+void AddPlain(TrafficFixture* fixture, engine::Repeat repeat) {
+  auto& route = fixture->AddRoute("/p/");
+  route.repeat = repeat;
+  route.split = {{ServiceId("s"), 1}};
+}
+
+// A new process knows no configuration yet. 404 would tell callers that the
+// route is gone for good; 503 says what is true, come back.
+BOOST_AUTO_TEST_CASE(KnowsNothingYet) {
+  TrafficFixture fixture;
+  BOOST_TEST_REQUIRE(fixture.listened());
+  BOOST_TEST(IsStatus(fixture.AskReady(), 503));
+  const auto answer = fixture.Ask("GET /p/x");
+  BOOST_TEST(IsStatus(answer, 503));
+  BOOST_TEST(HeaderIn(answer, "Retry-After") != "");
+}
+
+BOOST_AUTO_TEST_CASE(PlainRequestGoesThroughUnchanged) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  auto& server = fixture.AddServer("s", Answers("stamp-1", "the body"));
+  fixture.Publish();
+  BOOST_TEST(IsStatus(fixture.AskReady(), 200));
+  const auto answer = fixture.Ask("POST /p/x?y=1",
+                                  "Content-Length: 2\r\nA-Header: v\r\n\r\nhi");
+  BOOST_TEST(IsStatus(answer, 200));
+  BOOST_TEST(BodyOf(answer) == "the body");
+  BOOST_TEST(HeaderIn(answer, "Q-Stamp") == "stamp-1");
+  const auto sent = server.requests().at(0);
+  BOOST_TEST(sent.starts_with("POST /p/x?y=1 HTTP/1.1\r\n"));
+  BOOST_TEST(sent.ends_with("\r\n\r\nhi"));
+  BOOST_TEST(HeaderIn(sent, "A-Header") == "v");
+  BOOST_TEST(HeaderIn(sent, "Q-Id") == "one");
+  BOOST_TEST(HeaderIn(sent, "Q-Expect") == "server-1");
+  BOOST_TEST(std::stoi(HeaderIn(sent, "Q-Deadline")) <= 2000);
+  BOOST_TEST(IsStatus(fixture.Ask("GET /nowhere/"), 404));
+}
+
+// A caller that names a server or forges a receipt must not be believed: the
+// one would reach a server that has left, the other would pass for an answer.
+BOOST_AUTO_TEST_CASE(ForgedHeadersOfCallersAreDropped) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  auto& server = fixture.AddServer("s", Answers("stamp-1", ""));
+  fixture.Publish();
+  fixture.Ask("GET /p/x", "Q-Expect: other\r\nQ-Stamp: forged\r\n");
+  const auto sent = server.requests().at(0);
+  BOOST_TEST(sent.find("other") == std::string::npos);
+  BOOST_TEST(sent.find("forged") == std::string::npos);
+}
+
+struct DeadlineRow {
+  const char* header;
+  int least;
+  int most;
+};
+
+std::ostream& operator<<(std::ostream& out, const DeadlineRow& row) {
+  return out << '"' << row.header << '"';
+}
+
+const DeadlineRow kDeadlines[] = {
+    {"Q-Deadline: 700\r\n", 600, 700},
+    {"Q-Deadline: 0\r\n", 2900, 3000},
+    {"Q-Deadline: -5\r\n", 2900, 3000},
+    {"Q-Deadline: soon\r\n", 2900, 3000},
+    {"Q-Deadline: 99999999999999999999\r\n", 2900, 3000},
+    {"Q-Deadline: 900000\r\n", 2900, 3000},
+    {"", 2900, 3000},
+};
+
+// What a server is told must be a bound it can work by, whatever the caller
+// said: without one it would work on for nobody.
+BOOST_DATA_TEST_CASE(ServersAreToldABound, bdata::make(kDeadlines), row) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  auto& server = fixture.AddServer("s", Answers("stamp-1", ""));
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say("GET /p/x HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\n" +
+             std::string(row.header) + "\r\n");
+  BOOST_TEST(IsStatus(client.Hear("\r\n\r\n"), 200));
+  const int told = std::stoi(HeaderIn(server.requests().at(0), "Q-Deadline"));
+  BOOST_TEST(told >= row.least);
+  BOOST_TEST(told <= row.most);
+}
+
+struct OnceRow {
+  const char* name;
+  Scripted first;
+  int status;
+  size_t arrivals;
+};
+
+std::ostream& operator<<(std::ostream& out, const OnceRow& row) {
+  return out << row.name;
+}
+
+const std::string kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nQ-Id: one\r\nQ-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+const std::string kForeign =
+    "HTTP/1.1 421 Misdirected Request\r\nQ-Id: one\r\nContent-Length: "
+    "0\r\n\r\n";
+const std::string kFailure =
+    "HTTP/1.1 500 Internal Server Error\r\nQ-Id: one\r\nQ-Stamp: s\r\n"
+    "Content-Length: 4\r\n\r\noops";
+
+const OnceRow kOnce[] = {
+    {"reset after it was sent", {.text = "", .resets = true}, 502, 1},
+    {"answer cut short",
+     {.text = "HTTP/1.1 200 OK\r\nContent-Le", .closes = true},
+     502,
+     1},
+    {"a server's own failure", {.text = kFailure}, 500, 1},
+    {"refused as not run", {.text = kRefusal}, 200, 2},
+    {"another server has the address", {.text = kForeign}, 200, 2},
+};
+
+// A claim is recorded. Its answer is lost on the way; sent again, it would be
+// paid twice. Only the server's own word that it hasn't run allows that.
+BOOST_DATA_TEST_CASE(WhatMayRunOnceIsNotRepeated, bdata::make(kOnce), row) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  std::atomic<size_t> arrivals{0};
+  for (int i = 0; i < 2; ++i) {
+    fixture.AddServer("s", [&](const std::string& request) {
+      return ++arrivals == 1
+                 ? row.first
+                 : Scripted{.text = GoodAnswer(request, "later", "")};
+    });
+  }
+  fixture.Publish();
+  const auto answer = fixture.Ask("POST /p/x", "Content-Length: 0\r\n");
+  BOOST_TEST(IsStatus(answer, row.status));
+  BOOST_TEST(arrivals == row.arrivals);
+}
+
+// The same faults where a repeat is allowed: the caller notices nothing.
+BOOST_DATA_TEST_CASE(WhatMayRepeatIsTriedElsewhere, bdata::make(kOnce), row) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kIdempotent);
+  std::atomic<size_t> arrivals{0};
+  for (int i = 0; i < 2; ++i) {
+    fixture.AddServer("s", [&](const std::string& request) {
+      return ++arrivals == 1
+                 ? row.first
+                 : Scripted{.text = GoodAnswer(request, "later", "")};
+    });
+  }
+  fixture.Publish();
+  BOOST_TEST(IsStatus(fixture.Ask("GET /p/x"), 200));
+  BOOST_TEST(arrivals == 2);
+}
+
+// Servers that take nothing: the caller must hear that its request has not run,
+// and when to come back.
+BOOST_AUTO_TEST_CASE(NobodyTookIt) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s", [](auto&) { return Scripted{.text = kRefusal}; });
+  fixture.Publish();
+  const auto answer = fixture.Ask("GET /p/x");
+  BOOST_TEST(IsStatus(answer, 503));
+  BOOST_TEST(HeaderIn(answer, "Retry-After") != "");
+}
+
+// A server answers twice, or late to an earlier request. Taken as they come,
+// each caller would get the answer of the one before.
+BOOST_AUTO_TEST_CASE(AnswersOfOthersArePassedOver) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nQ-Id: zero\r\nQ-Stamp: old\r\n"
+      "Content-Length: 3\r\n\r\nold";
+  fixture.AddServer("s", [&](const std::string& request) {
+    return Scripted{.text = late + GoodAnswer(request, "new", "new") + late};
+  });
+  fixture.Publish();
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = fixture.Ask("GET /p/x");
+    BOOST_TEST(BodyOf(answer) == "new");
+    BOOST_TEST(HeaderIn(answer, "Q-Stamp") == "new");
+  }
+}
+
+// An answer without a length ends with its connection; one whose connection is
+// reset is cut, and must not look whole.
+BOOST_AUTO_TEST_CASE(AnswersWithoutALength) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  std::atomic<bool> resets{false};
+  fixture.AddServer("s", [&](auto&) {
+    return Scripted{.text =
+                        "HTTP/1.1 200 OK\r\nQ-Id: one\r\nQ-Stamp: s\r\n\r\n"
+                        "until the end",
+                    .closes = true,
+                    .resets = resets.load()};
+  });
+  fixture.Publish();
+  BOOST_TEST(BodyOf(fixture.Ask("GET /p/x")) == "until the end");
+  resets = true;
+  BOOST_TEST(IsStatus(fixture.Ask("GET /p/x"), 502));
+}
+
+// The caller hangs up. Servers that work on for it keep others waiting.
+BOOST_AUTO_TEST_CASE(CallerThatLeavesStopsItsAttempts) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kIdempotent);
+  auto& server = fixture.AddServer(
+      "s", [](auto&) { return Scripted{.text = "", .silent = true}; });
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say(TrafficFixture::RequestText("GET /p/x"));
+  BOOST_TEST(Eventually([&] { return server.requests().size() == 1; }));
+  client.Close();
+  BOOST_TEST(Eventually([&] { return server.abandoned() == 1; }));
+}
+
+// A route's time is up while the server is silent: the caller hears so, and is
+// not told that nothing ran.
+BOOST_AUTO_TEST_CASE(TimeUpIsAnsweredAtOnce) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s",
+                    [](auto&) { return Scripted{.text = "", .silent = true}; });
+  fixture.AddRoute("/q/").split = {{ServiceId("s"), 1}};
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say(
+      "GET /p/x HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\nQ-Deadline: 300\r\n\r\n");
+  const auto began = SteadyNow();
+  BOOST_TEST(IsStatus(client.Hear("\r\n\r\n"), 504));
+  BOOST_TEST((SteadyNow() - began).count < 3000);
+}
+
+// An older configuration that comes late must not come into force again.
+BOOST_AUTO_TEST_CASE(ConfigurationNeverGoesBack) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s", Answers("stamp-1", ""));
+  fixture.Publish(7);
+  fixture.OnLoop([&] {
+    auto old = std::make_shared<engine::TrafficConfig>();
+    old->version = 6;
+    fixture.server().SetConfig(old);
+  });
+  BOOST_TEST(IsStatus(fixture.Ask("GET /p/x"), 200));
+}
+
+// A planned stop: the balancer goes on sending for a while, and what runs is
+// answered before the end.
+BOOST_AUTO_TEST_CASE(StopCutsNothingOff) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s", [](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, "s", "whole"), .wait_ms = 150};
+  });
+  fixture.Publish();
+  RawClient early(fixture.port());
+  early.Say(TrafficFixture::RequestText("GET /p/x"));
+  std::atomic<bool> done{false};
+  fixture.OnLoop([&] { fixture.server().Stop([&] { done = true; }); });
+  BOOST_TEST(IsStatus(fixture.AskReady(), 503));
+  const auto late = fixture.Ask("GET /p/x");
+  BOOST_TEST(BodyOf(late) == "whole");
+  const auto answer = early.Hear();
+  BOOST_TEST(BodyOf(answer) == "whole");
+  BOOST_TEST(HeaderIn(answer, "Connection") == "close");
+  BOOST_TEST(Eventually([&] { return done.load(); }));
+}
+
+// A request that is still at its server when the process has to end gets an
+// answer all the same, and not a closed connection.
+BOOST_AUTO_TEST_CASE(StopAnswersWhatCannotFinish) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s",
+                    [](auto&) { return Scripted{.text = "", .silent = true}; });
+  fixture.Publish();
+  RawClient client(fixture.port());
+  client.Say(TrafficFixture::RequestText("GET /p/x"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  fixture.OnLoop([&] { fixture.server().Stop([] {}); });
+  BOOST_TEST(IsStatus(client.Hear(), 504));
+}
+
+}  // namespace
+}  // namespace hibiscuspick::edge
--- /dev/null
+++ b/packages/engine/tests/directory_test.cc
@@ -0,0 +1,49 @@
+#include "hibiscuspick/engine/directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hibiscuspick::engine {
+namespace {
+
+ServerEntry Entry(const char* id) {
+  ServerEntry entry;
+  entry.id = BackendServerId(id);
+  return entry;
+}
+
+// The store was down for longer than servers' entries live. When it returns its
+// list is short of servers that are well; callers would get refusals for the
+// seconds until these have written again.
+BOOST_AUTO_TEST_CASE(EntriesMissingAfterAnOutageAreKeptForAWhile) {
+  Directory directory;
+  ReplaceAll(&directory, {Entry("a"), Entry("b")}, Millis(0));
+  NoteStoreTrouble(&directory, Millis(5000));
+  ReplaceAll(&directory, {Entry("a")}, Millis(6000));
+  BOOST_TEST(directory.entries.contains(BackendServerId("b")));
+  PutEntry(&directory, Entry("b"));
+  BOOST_TEST(!DropLapsed(&directory, Millis(20000)));
+  BOOST_TEST(directory.entries.contains(BackendServerId("b")));
+}
+
+BOOST_AUTO_TEST_CASE(EntriesThatStayMissingAreGone) {
+  Directory directory;
+  ReplaceAll(&directory, {Entry("a"), Entry("b")}, Millis(0));
+  NoteStoreTrouble(&directory, Millis(5000));
+  RemoveEntry(&directory, BackendServerId("b"), Millis(6000));
+  RemoveEntry(&directory, BackendServerId("b"), Millis(7000));
+  BOOST_TEST(!DropLapsed(&directory, Millis(8000)));
+  BOOST_TEST(DropLapsed(&directory, Millis(8500)));
+  BOOST_TEST(!directory.entries.contains(BackendServerId("b")));
+}
+
+// A server that leaves without a word drops out of the list; while the store is
+// well that is believed at once, or it would get work after it has ended.
+BOOST_AUTO_TEST_CASE(EntriesMissingWhileTheStoreIsWellAreGoneNow) {
+  Directory directory;
+  ReplaceAll(&directory, {Entry("a"), Entry("b")}, Millis(0));
+  RemoveEntry(&directory, BackendServerId("b"), Millis(1000));
+  BOOST_TEST(!directory.entries.contains(BackendServerId("b")));
+}
+
+}  // namespace
+}  // namespace hibiscuspick::engine
--- /dev/null
+++ b/packages/engine/tests/fan_out_test.cc
@@ -0,0 +1,135 @@
+#include "hibiscuspick/engine/fan_out.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::engine {
+namespace {
+
+using Outlooks = std::vector<std::optional<ShardOutlook>>;
+
+constexpr size_t kShards = 20;
+constexpr size_t kNeeded = 18;
+
+Outlooks Even(Millis service) {
+  return Outlooks(kShards, ShardOutlook{Millis(0), service});
+}
+
+// Two servers of two shards have been lost and the others are overloaded. Asked
+// all the same, each query makes them slower for the next one, and callers wait
+// for answers that could have been there with 18 of 20 parts.
+BOOST_AUTO_TEST_CASE(OverloadedShardsAreKeptBack) {
+  auto outlooks = Even(Millis(30));
+  outlooks[3]->service = Millis(160);
+  outlooks[7]->wait = Millis(140);
+  const auto plan = PlanFanOut(outlooks, kNeeded, Millis(190), 0.6);
+  BOOST_TEST(plan.possible);
+  BOOST_TEST(plan.asked.size() == kNeeded);
+  BOOST_TEST((plan.deferred == std::vector<size_t>{3, 7}));
+}
+
+// With more slow shards than the least share can spare, only the worst are.
+BOOST_AUTO_TEST_CASE(NeverKeepsBackMoreThanTheLeastShareSpares) {
+  auto outlooks = Even(Millis(160));
+  outlooks[5]->service = Millis(170);
+  outlooks[6]->service = Millis(180);
+  const auto plan = PlanFanOut(outlooks, kNeeded, Millis(190), 0.6);
+  BOOST_TEST(plan.asked.size() == kNeeded);
+  BOOST_TEST((plan.deferred == std::vector<size_t>{5, 6}));
+}
+
+// A data centre is cut off with 14 of 20 shards. Without this the 14 worked for
+// each query, and the caller heard of its failure at its deadline.
+BOOST_AUTO_TEST_CASE(FailsBeforeAnyWorkIfTheShareIsOutOfReach) {
+  auto outlooks = Even(Millis(30));
+  for (size_t i = 0; i < 6; ++i) outlooks[i].reset();
+  const auto plan = PlanFanOut(outlooks, kNeeded, Millis(190), 0.6);
+  BOOST_TEST(!plan.possible);
+  BOOST_TEST(plan.asked.empty());
+}
+
+struct AdmitRow {
+  const char* name;
+  ShardOutlook worst;
+  // Shards that look like that.
+  size_t count;
+  bool returning;
+  bool admitted;
+};
+
+std::ostream& operator<<(std::ostream& out, const AdmitRow& row) {
+  return out << row.name;
+}
+
+const AdmitRow kAdmits[] = {
+    {"calm", {Millis(0), Millis(30)}, 20, false, true},
+    {"two crowded shards are spared",
+     {Millis(900), Millis(30)},
+     2,
+     false,
+     true},
+    {"crowded", {Millis(180), Millis(30)}, 3, false, false},
+    {"crowded, but the caller came back",
+     {Millis(180), Millis(30)},
+     3,
+     true,
+     true},
+    {"slow without a queue", {Millis(0), Millis(336)}, 3, false, true},
+    {"no hope by the deadline", {Millis(1900), Millis(336)}, 3, true, false},
+};
+
+// Refusing helps against queues. Where the servers themselves are slow it only
+// turns late answers into none.
+BOOST_DATA_TEST_CASE(WholeQueriesAreAdmitted, bdata::make(kAdmits), row) {
+  auto outlooks = Even(Millis(30));
+  for (size_t i = 0; i < row.count; ++i) outlooks[i] = row.worst;
+  const auto admission =
+      Admit(outlooks, kNeeded, {Millis(190), Millis(1990), row.returning});
+  BOOST_TEST(admission.admitted == row.admitted);
+}
+
+// What the caller is told must be when the queue has drained, not a constant.
+BOOST_AUTO_TEST_CASE(RetryAfterFollowsTheQueue) {
+  auto outlooks = Even(Millis(30));
+  for (size_t i = 0; i < 3; ++i) outlooks[i] = {Millis(400), Millis(30)};
+  const auto admission =
+      Admit(outlooks, kNeeded, {Millis(190), Millis(1990), false});
+  BOOST_TEST(!admission.admitted);
+  BOOST_TEST(admission.retry_after.count == 240);
+}
+
+PartView Late(size_t place, double since) {
+  return {place, 1, Millis(since), false, true};
+}
+
+// Three parts are late and two may be missing: one second attempt decides
+// whether the caller gets an answer in time, the others only add to it.
+BOOST_AUTO_TEST_CASE(UrgentHedgesAreThoseTheShareNeeds) {
+  const auto plan =
+      PlanHedges({Late(4, 3), Late(5, 1), Late(6, 2)}, 17, kNeeded, Millis(10));
+  BOOST_TEST((plan.urgent == std::vector<size_t>{5}));
+  BOOST_TEST((plan.optional == std::vector<size_t>{6, 4}));
+}
+
+// A shard that was kept back costs no budget: it was never asked.
+BOOST_AUTO_TEST_CASE(KeptBackShardsGoBeforeSecondAttempts) {
+  std::vector<PartView> missing = {Late(4, 3), Late(5, 1)};
+  missing.push_back({9, 0, kNever, true, false});
+  const auto plan = PlanHedges(missing, 17, kNeeded, Millis(10));
+  BOOST_TEST((plan.start == std::vector<size_t>{9}));
+  BOOST_TEST(plan.urgent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(PartsOnTimeAreLeftAlone) {
+  const auto plan =
+      PlanHedges({Late(4, 30), Late(5, 31)}, 10, kNeeded, Millis(10));
+  BOOST_TEST(plan.urgent.empty());
+  BOOST_TEST(plan.optional.empty());
+}
+
+}  // namespace
+}  // namespace hibiscuspick::engine
--- /dev/null
+++ b/packages/engine/tests/gather_test.cc
@@ -0,0 +1,85 @@
+#include "hibiscuspick/engine/gather.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::engine {
+namespace {
+
+struct NeededRow {
+  double least_share;
+  size_t shards;
+  size_t needed;
+};
+
+std::ostream& operator<<(std::ostream& out, const NeededRow& row) {
+  return out << row.least_share << " of " << row.shards;
+}
+
+const NeededRow kNeeded[] = {
+    {0.89, 20, 18}, {0.75, 20, 15}, {0.9, 20, 18}, {0.95, 90, 86},
+    {0.85, 90, 77}, {0, 20, 1},     {1, 20, 20},   {0.3, 10, 3},
+};
+
+BOOST_DATA_TEST_CASE(LeastShareIsRoundedUp, bdata::make(kNeeded), row) {
+  BOOST_TEST(PartsNeeded(row.least_share, row.shards) == row.needed);
+}
+
+struct StepRow {
+  const char* name;
+  GatherProgress progress;
+  double now;
+  GatherStep step;
+};
+
+std::ostream& operator<<(std::ostream& out, const StepRow& row) {
+  return out << row.name;
+}
+
+const StepRow kSteps[] = {
+    {"all in", {20, 18, 20, 0}, 10, GatherStep::kAnswer},
+    {"enough, time left", {20, 18, 19, 0}, 10, GatherStep::kWait},
+    {"enough, target comes", {20, 18, 18, 0}, 190, GatherStep::kAnswer},
+    {"enough, the rest failed", {20, 18, 18, 2}, 10, GatherStep::kAnswer},
+    {"too few, target passed", {20, 18, 17, 0}, 190, GatherStep::kWait},
+    {"enough after the target", {20, 18, 18, 0}, 300, GatherStep::kAnswer},
+    {"too many failed", {20, 18, 10, 3}, 10, GatherStep::kFail},
+    {"time is up", {20, 18, 17, 0}, 2000, GatherStep::kTimeUp},
+};
+
+BOOST_DATA_TEST_CASE(StepsByClocksAndParts, bdata::make(kSteps), row) {
+  const GatherClocks clocks{Millis(190), Millis(1990)};
+  BOOST_TEST((NextStep(row.progress, clocks, Millis(row.now)) == row.step));
+}
+
+std::string Record(char first) {
+  return std::string(1, first) + "23456789abcdef";
+}
+std::string Padded(char first) { return Record(first) + "!"; }
+
+// A caller compares the answer byte by byte with the greatest records of the
+// parts it names; one record too many or too few makes the answer wrong.
+BOOST_AUTO_TEST_CASE(MergesGreatestFallingAndKeepsEqualOnes) {
+  const std::string a = Padded('c') + Padded('a') + "short";
+  const std::string b = Padded('b') + Padded('c');
+  BOOST_TEST(MergeTop({a, b}, 3) == Padded('c') + Padded('c') + Padded('b'));
+  BOOST_TEST(MergeTop({a, b}, 9).size() == 4 * kRecordBytes);
+  BOOST_TEST(MergeTop({"tooshort"}, 3).empty());
+}
+
+// Bytes above 0x7f are greater than letters: a signed comparison would sort
+// them first to last.
+BOOST_AUTO_TEST_CASE(ComparesBytesAsUnsigned) {
+  const std::string low(kRecordBytes, 'z');
+  const std::string high(kRecordBytes, '\xf0');
+  BOOST_TEST(MergeTop({low, high}, 1) == high);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::engine
