--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -13,6 +13,7 @@
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/gather.h"
+#include "hibiscuspick/engine/lag_meter.h"
 #include "hibiscuspick/engine/route_pace.h"
 #include "hibiscuspick/engine/traffic_config.h"
 
@@ -26,6 +27,8 @@
   // Taken off the caller's target: the way to the caller and back, and what
   // this instance needs to send the answer.
   Millis answer_margin{9};
+  // How much after its clock an answer leaves; taken off the target too.
+  engine::LagMeter answer_lag;
   // Taken off the caller's deadline, for the same reason.
   Millis end_margin{12};
 };
@@ -71,7 +74,7 @@
  public:
   using OnDone = std::function<void(const QueryOutcome&)>;
 
-  QueryRun(const QueryContext* context,
+  QueryRun(QueryContext* context,
            std::shared_ptr<const engine::TrafficConfig> config,
            const engine::Route* route, engine::RoutePace* pace,
            HttpRequest request);
@@ -152,7 +155,7 @@
   bool MayHaveRun() const;
   engine::GatherProgress Progress() const;
 
-  const QueryContext* const context_;
+  QueryContext* const context_;
   const std::shared_ptr<const engine::TrafficConfig> config_;
   const engine::Route* const route_;
   engine::RoutePace* const pace_;
@@ -170,6 +173,8 @@
   Loop::TimerId timer_ = 0;
   size_t extras_ = 0;
   bool returning_ = false;
+  // The answer clock is what the query is looked at for.
+  bool by_clock_ = false;
   Millis retry_after_{50};
   bool done_ = false;
 };
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -104,6 +104,10 @@
   HttpListener queries_;
   PeerSender peers_;
   size_t instances_;
+  // What handing a query over costs in time, beside the peer's own, within the
+  // data centre and to another. The first guess is a way and a half.
+  engine::LagMeter near_lag_{Millis(4)};
+  engine::LagMeter far_lag_{Millis(7)};
   std::shared_ptr<const engine::TrafficConfig> config_;
   bool has_servers_ = false;
   bool stopping_ = false;
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -113,6 +113,9 @@
   outcome.took = context_->loop->now() - began_;
   StopParts(false);
   if (const auto on_done = std::exchange(on_done_, nullptr)) on_done(outcome);
+  if (by_clock_) {
+    engine::AddLag(&context_->answer_lag, SteadyNow() - clocks_.answer_at);
+  }
 }
 
 void QueryRun::Cancel() {
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-QueryRun::QueryRun(const QueryContext* context,
+QueryRun::QueryRun(QueryContext* context,
                    std::shared_ptr<const engine::TrafficConfig> config,
                    const engine::Route* route, engine::RoutePace* pace,
                    HttpRequest request)
@@ -87,7 +87,7 @@
       handed_ ? *handed_ : ClocksFor(*context_, *route_, pace_, request_);
   returning_ = clocks.returning;
   clocks_.end_at = began_ + Min(clocks.end_in, route_->timeout);
-  clocks_.answer_at = began_ + clocks.answer_in;
+  clocks_.answer_at = began_ + clocks.answer_in - context_->answer_lag.high;
 }
 
 void QueryRun::Start(const std::vector<ServiceId>& services, OnDone on_done) {
@@ -387,12 +387,18 @@
   const Millis now = context_->loop->now();
   Millis next = Min(clocks_.end_at, NextHedge());
   if (clocks_.answer_at > now) next = Min(next, clocks_.answer_at);
-  timer_ = context_->loop->At(next, [self = shared_from_this()] {
-    self->timer_ = 0;
-    if (self->done_) return;
-    self->HedgeParts();
-    self->Check();
-  });
+  const bool by_answer_clock = next == clocks_.answer_at;
+  timer_ =
+      context_->loop->At(next, [self = shared_from_this(), by_answer_clock] {
+        self->timer_ = 0;
+        if (self->done_) return;
+        // Only what waited for the clock tells how late the clock is heard; an
+        // answer that came together after it is late for want of parts.
+        self->by_clock_ = by_answer_clock;
+        self->HedgeParts();
+        self->Check();
+        self->by_clock_ = false;
+      });
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -1,6 +1,9 @@
 #include "hibiscuspick/edge/traffic_server.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 #include <utility>
 
@@ -11,10 +14,9 @@
 
 constexpr Millis kStopCheck{50};
 
-// Taken off the target of a query that is handed over: the way to the peer and
-// back and the work on both ends, within a data centre and to another.
-constexpr Millis kHandedNear{4};
-constexpr Millis kHandedFar{7};
+// Where a handed query's answer says how long the peer had it.
+constexpr std::string_view kTookHeader = "Hp-Took-Ms";
+
 // A peer answers by its end; later it is lost.
 constexpr Millis kHandedSlack{100};
 
@@ -247,8 +249,9 @@
   query.clocks = QueryRun::ClocksFor(context_, route, PaceOf(route), request);
   const bool away =
       peer->data_centre != settings_.backends.choice.own_data_centre;
-  query.clocks.answer_in =
-      query.clocks.answer_in - (away ? kHandedFar : kHandedNear);
+  // The way to the peer and back and the work on both ends, as measured.
+  auto* lag = away ? &far_lag_ : &near_lag_;
+  query.clocks.answer_in = query.clocks.answer_in - lag->high;
   HttpRequest sent;
   sent.method = request.method;
   sent.target = request.target;
@@ -258,7 +261,13 @@
   const auto give_up = peers_.Send(
       *peer, ToText(sent), request.method == "HEAD",
       query.clocks.end_in + kHandedSlack,
-      [this, session, request](HandedEnd end, const HttpReply& reply) {
+      [this, session, request, lag, sent_at = loop_->now()](
+          HandedEnd end, const HttpReply& reply) {
+        const auto took = FindHeader(reply.headers, kTookHeader);
+        if (!took.empty()) {
+          const Millis peers(std::strtod(std::string(took).c_str(), nullptr));
+          engine::AddLag(lag, SteadyNow() - sent_at - peers);
+        }
         OnPeerAnswer(session, request, end, reply);
       });
   session->set_on_gone(give_up);
@@ -271,6 +280,9 @@
   if (end == HandedEnd::kAnswer) {
     HttpReply answer = reply;
     answer.headers = EndToEnd(reply.headers);
+    std::erase_if(answer.headers, [](const Header& it) {
+      return SameName(it.name, kTookHeader);
+    });
     session->Reply(answer);
     return;
   }
@@ -300,13 +312,21 @@
     running_.erase(query);
   });
   const std::weak_ptr<QueryRun> weak = query;
-  query->Start(ServicesFor(route),
-               [this, session, weak, id, route_id = route.id,
-                version = config_->version](const QueryOutcome& outcome) {
-                 LogOutcome(id, route_id, version, outcome);
-                 session->Reply(outcome.reply);
-                 if (const auto it = weak.lock()) running_.erase(it);
-               });
+  query->Start(
+      ServicesFor(route),
+      [this, session, weak, id, route_id = route.id, version = config_->version,
+       is_handed = handed.has_value()](const QueryOutcome& outcome) {
+        LogOutcome(id, route_id, version, outcome);
+        if (is_handed) {
+          HttpReply answer = outcome.reply;
+          answer.headers.push_back({std::string(kTookHeader),
+                                    fmt::format("{:.2f}", outcome.took.count)});
+          session->Reply(answer);
+        } else {
+          session->Reply(outcome.reply);
+        }
+        if (const auto it = weak.lock()) running_.erase(it);
+      });
 }
 
 void TrafficServer::LogOutcome(const std::string& request_id,
--- /dev/null
+++ b/packages/engine/tests/lag_meter_test.cc
@@ -0,0 +1,34 @@
+#include "hibiscuspick/engine/lag_meter.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "hibiscuspick/base/random.h"
+
+namespace hibiscuspick::engine {
+namespace {
+
+// With the mean as a margin, half of the answers that are given by the clock
+// would come late by a little and be worth a tenth.
+BOOST_AUTO_TEST_CASE(MostSamplesLieBelowIt) {
+  Random random(3);
+  LagMeter meter;
+  int above = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const Millis sample(random.Fraction() * 10);
+    if (i >= 1000 && sample > meter.high) ++above;
+    AddLag(&meter, sample);
+  }
+  BOOST_TEST(above < 4000 * 0.3);
+  BOOST_TEST(meter.high.count < 10);
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsABurst) {
+  LagMeter meter;
+  for (int i = 0; i < 20; ++i) AddLag(&meter, Millis(40));
+  BOOST_TEST(meter.high.count > 35);
+  for (int i = 0; i < 100; ++i) AddLag(&meter, Millis(1));
+  BOOST_TEST(meter.high.count < 5);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::engine
