--- /dev/null
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -0,0 +1,76 @@
+#include "hibiscuspick/settings/edge_settings.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+#include "hibiscuspick/base/json.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::settings {
+namespace {
+
+Json Good() {
+  return Json::parse(R"({"instance": "a-1", "data_centre": "a", "edge": {
+    "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "store": "10.0.0.2:3",
+    "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
+    "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
+    "grace_ms": 6000}})");
+}
+
+BOOST_AUTO_TEST_CASE(GoodFile) {
+  const auto checked = ReadEdgeSettings(Good().dump());
+  BOOST_TEST_REQUIRE(IsGood(checked));
+  const auto& settings = GoodOf(checked);
+  BOOST_TEST(settings.processor == 0.25);
+  BOOST_TEST(settings.extra_slack == 52);
+  BOOST_TEST(settings.extra_window.count == 10000);
+  BOOST_TEST(ToText(settings.news) == "10.0.0.1:4");
+  BOOST_TEST(IsEdgeSettings(Good().dump()));
+  BOOST_TEST(!IsEdgeSettings("{}"));
+  BOOST_TEST(!IsEdgeSettings("{\"edge\": {"));
+}
+
+struct BadRow {
+  const char* pointer;
+  Json value;
+  const char* place;
+};
+
+std::ostream& operator<<(std::ostream& out, const BadRow& row) {
+  return out << row.pointer;
+}
+
+const BadRow kBad[] = {
+    {"/instance", 3, "$.instance"},
+    {"/data_centre", "a b", "$.data_centre"},
+    {"/surprise", 1, "$.surprise"},
+    {"/edge/store", "name:80", "$.edge.store"},
+    {"/edge/callers", nullptr, "$.edge.callers"},
+    {"/edge/processor", "half", "$.edge.processor"},
+    {"/edge/grace_ms", 10, "$.edge.grace_ms"},
+    {"/edge/instances", 0, "$.edge.instances"},
+    {"/edge/extra_attempts/ratio", -1, "$.edge.extra_attempts.ratio"},
+    {"/edge/extra_attempts/slck", 1, "$.edge.extra_attempts.slck"},
+    {"/edge/log", Json{{"level", "loud"}}, "$.edge.log.level"},
+};
+
+// A file with a slip must say where it is, and not start a process that serves
+// by a guess.
+BOOST_DATA_TEST_CASE(FaultsNameTheirPlace, bdata::make(kBad), row) {
+  Json file = Good();
+  file[Json::json_pointer(row.pointer)] = row.value;
+  const auto faults = FaultsOf(ReadEdgeSettings(file.dump()));
+  BOOST_TEST_REQUIRE(faults.size() == 1);
+  BOOST_TEST(faults[0].place == row.place);
+}
+
+BOOST_AUTO_TEST_CASE(HalfWrittenFile) {
+  const std::string text = Good().dump();
+  BOOST_TEST(!IsGood(ReadEdgeSettings(text.substr(0, text.size() / 2))));
+}
+
+}  // namespace
+}  // namespace hibiscuspick::settings
