--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -124,6 +124,9 @@
   // The data centres that have servers of nearly all of the services.
   std::vector<DataCentreId> PlacesOf(
       const std::vector<ServiceId>& services) const;
+  // The data centres that have a server of it which can be reached and isn't
+  // suspected of standing still.
+  std::vector<DataCentreId> PlacesOfService(const ServiceId& service) const;
   // Whether every try at the servers of other data centres has failed for a
   // while: the instance's data centre is cut off.
   bool IsCutOff() const;
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -20,6 +20,8 @@
 struct HandedQuery {
   uint64_t config_version = 0;
   HandedClocks clocks;
+  // The places of the shards in the route that are asked for; all if empty.
+  std::vector<size_t> shards;
 };
 
 // Puts it into the headers, and takes it out of them again; nothing if it isn't
@@ -27,27 +29,30 @@
 void AddHanded(const HandedQuery& query, std::vector<Header>* headers);
 std::optional<HandedQuery> TakeHanded(std::vector<Header>* headers);
 
+// In the answer to a query for some shards: the places of those that are in, in
+// the order of their receipts.
+inline constexpr std::string_view kShardsInHeader = "Hp-Shards-In";
+// In every answer to a peer: how long the peer had the query.
+inline constexpr std::string_view kTookHeader = "Hp-Took-Ms";
+
+// Numbers separated by commas; nothing if the text is anything else.
+std::string JoinPlaces(const std::vector<size_t>& places);
+std::optional<std::vector<size_t>> SplitPlaces(std::string_view text);
+
 // A peer that has another version of the configuration answers this: the parts
 // of an answer and the answers of one instance follow one version.
 inline constexpr int kOtherVersion = 409;
 
-enum class HandedEnd {
-  // The peer's answer is the caller's.
-  kAnswer,
-  // The peer hasn't begun: it can't be reached, or has another version.
-  kNotBegun,
-  // The connection broke after the query was sent.
-  kBroken,
-};
-
 class PeerSender {
  public:
   using OnEnd = std::function<void(HandedEnd, HttpReply)>;
 
   explicit PeerSender(Loop* loop) : loop_(loop) {}
 
+  // `relays`: those that ask for parts near them.
   void SetPeers(const engine::Peer& own,
-                const std::vector<engine::Peer>& senders);
+                const std::vector<engine::Peer>& senders,
+                const std::vector<engine::Peer>& relays);
   const std::vector<engine::Peer>& senders() const { return senders_; }
   bool IsSender() const;
 
@@ -55,6 +60,10 @@
   // this instance sends it itself.
   const engine::Peer* Choose(const std::vector<DataCentreId>& places);
 
+  // A peer in that data centre that takes parts of queries; nullptr if none is
+  // within reach.
+  const engine::Peer* RelayIn(const DataCentreId& where);
+
   // Hands it over. `on_end` is called once, unless the returned function is
   // called first: the caller has left, and the peer is told by the end of the
   // connection.
@@ -63,12 +72,14 @@
 
  private:
   struct Open;
+  bool IsAvoided(const InstanceId& peer) const;
   void SendOn(const std::shared_ptr<Open>& open);
   void End(const std::shared_ptr<Open>& open, HandedEnd end, HttpReply reply);
 
   Loop* const loop_;
   std::optional<engine::Peer> own_;
   std::vector<engine::Peer> senders_;
+  std::vector<engine::Peer> relays_;
   std::map<InstanceId, std::vector<std::shared_ptr<HttpChannel>>> idle_;
   // Peers that could not be reached, until when they get nothing.
   std::map<InstanceId, Millis> avoided_;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -14,11 +14,14 @@
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/gather.h"
 #include "hibiscuspick/engine/lag_meter.h"
+#include "hibiscuspick/engine/peers.h"
 #include "hibiscuspick/engine/route_pace.h"
 #include "hibiscuspick/engine/traffic_config.h"
 
 namespace hibiscuspick::edge {
 
+class PeerSender;
+
 // What a request needs of the instance; outlives it.
 struct QueryContext {
   Loop* loop = nullptr;
@@ -29,6 +32,10 @@
   Millis answer_margin{9};
   // How much after its clock an answer leaves; taken off the target too.
   engine::LagMeter answer_lag;
+  // Peers that ask for parts near them, and what that takes beside their own
+  // time. The first guess is a way and a half.
+  PeerSender* peers = nullptr;
+  engine::LagMeter relay_lag{Millis(5)};
   // Taken off the caller's deadline, for the same reason.
   Millis end_margin{12};
 };
@@ -58,6 +65,16 @@
 };
 std::string_view FaultName(QueryFault fault);
 
+// How a query ended that was handed to a peer.
+enum class HandedEnd {
+  // The peer's answer is the caller's.
+  kAnswer,
+  // The peer hasn't begun: it can't be reached, or has another version.
+  kNotBegun,
+  // The connection broke after the query was sent.
+  kBroken,
+};
+
 struct QueryOutcome {
   HttpReply reply;
   QueryFault fault = QueryFault::kNone;
@@ -92,6 +109,10 @@
   // The query was handed over by a peer. Before Start.
   void set_handed(const HandedClocks& it) { handed_ = it; }
 
+  // Only these shards of the route are asked for, and any of them make an
+  // answer. Before Start, with the services of the same shards.
+  void set_partial(std::vector<size_t> places) { places_ = std::move(places); }
+
   // The caller has left: what runs for it is stopped.
   void Cancel();
   // The instance stops: answers with what is here.
@@ -122,6 +143,8 @@
     bool failed = false;
     // Kept back until others are late.
     bool deferred = false;
+    // A peer asks for it.
+    bool relayed = false;
     HttpReply reply;
     // The last answer of a server that was no success.
     std::optional<HttpReply> failure;
@@ -131,6 +154,12 @@
   void StartPart(size_t i);
   // False if the query was answered at once.
   bool StartParts();
+  // Hands parts that are far to peers near them; gives the others.
+  std::vector<size_t> RelayParts(const std::vector<size_t>& asked);
+  bool SendRelay(const engine::RelayGroup& group);
+  void OnRelayed(const std::vector<size_t>& shards, HandedEnd end,
+                 const HttpReply& reply);
+  bool TakeRelayed(const std::vector<size_t>& shards, const HttpReply& reply);
   void WaitForRoom(size_t i, bool extra);
   bool TryPart(size_t i, Extra extra);
   AttemptOrder OrderFor(size_t i);
@@ -167,6 +196,12 @@
   std::vector<Header> forwarded_;
   OnDone on_done_;
   std::optional<HandedClocks> handed_;
+  // The places in the route of a partial query's shards; empty for a whole one.
+  std::vector<size_t> places_;
+  // Records that peers have merged already.
+  std::vector<std::string> merged_;
+  // Ends the questions to peers.
+  std::vector<std::function<void()>> relays_;
   std::vector<Part> parts_;
   engine::GatherClocks clocks_;
   Millis began_;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -57,9 +57,11 @@
   // with a lower version than the one held is passed over.
   void SetConfig(std::shared_ptr<const engine::TrafficConfig> config);
   void SetServers(const std::vector<engine::ServerEntry>& entries);
-  // This instance among `instances`, of which some send fan-outs for all.
+  // This instance among `instances`, of which some send fan-outs for all, and
+  // some, or the same, ask for parts near them.
   void SetPeers(const engine::Peer& own,
-                const std::vector<engine::Peer>& senders, size_t instances);
+                const std::vector<engine::Peer>& senders,
+                const std::vector<engine::Peer>& relays, size_t instances);
 
   // Not ready from now on; `done` is called when nothing is in hand any more
   // or the time is up.
@@ -80,7 +82,7 @@
                 HttpRequest request);
   void Serve(const std::shared_ptr<HttpSession>& session, HttpRequest request,
              const engine::Route& route,
-             const std::optional<HandedClocks>& handed);
+             const std::optional<HandedQuery>& handed);
   bool HandOver(const std::shared_ptr<HttpSession>& session,
                 const HttpRequest& request, const engine::Route& route);
   void OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
--- a/packages/edge/src/backends_servers.cc
+++ b/packages/edge/src/backends_servers.cc
@@ -91,6 +91,25 @@
   return all;
 }
 
+std::vector<DataCentreId> Backends::PlacesOfService(
+    const ServiceId& service) const {
+  std::vector<DataCentreId> places;
+  const auto found = services_.find(service);
+  if (found == services_.end()) return places;
+  for (const auto& it : found->second->servers) {
+    const auto& belief = it->belief;
+    if (belief.draining || belief.removed || belief.unreachable ||
+        engine::IsSuspected(belief, loop_->now())) {
+      continue;
+    }
+    const auto& place = belief.entry.data_centre;
+    if (std::find(places.begin(), places.end(), place) == places.end()) {
+      places.push_back(place);
+    }
+  }
+  return places;
+}
+
 // Ends the connections that no attempt is on.
 void Backends::Retire(const std::shared_ptr<Server>& server) {
   for (auto& it : std::exchange(server->idle, {})) it->Close();
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kAnswerHeader = "Hp-Answer-In-Ms";
 constexpr std::string_view kEndHeader = "Hp-End-In-Ms";
 constexpr std::string_view kReturningHeader = "Hp-Returning";
+constexpr std::string_view kShardsHeader = "Hp-Shards";
 
 constexpr Millis kConnectTimeout{150};
 constexpr Millis kAvoidance{1500};
@@ -42,6 +43,32 @@
   add(kAnswerHeader, Whole(query.clocks.answer_in));
   add(kEndHeader, Whole(query.clocks.end_in));
   add(kReturningHeader, query.clocks.returning ? "1" : "0");
+  if (!query.shards.empty()) add(kShardsHeader, JoinPlaces(query.shards));
+}
+
+std::string JoinPlaces(const std::vector<size_t>& places) {
+  std::string text;
+  for (const size_t it : places) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(it);
+  }
+  return text;
+}
+
+std::optional<std::vector<size_t>> SplitPlaces(std::string_view text) {
+  std::vector<size_t> places;
+  const char* at = text.data();
+  const char* const end = at + text.size();
+  while (at != end) {
+    size_t n = 0;
+    const auto read = std::from_chars(at, end, n);
+    if (read.ec != std::errc()) return std::nullopt;
+    places.push_back(n);
+    at = read.ptr;
+    if (at == end) break;
+    if (*at != ',' || ++at == end) return std::nullopt;
+  }
+  return places;
 }
 
 std::optional<HandedQuery> TakeHanded(std::vector<Header>* headers) {
@@ -54,10 +81,14 @@
   query.clocks.answer_in = Millis(static_cast<double>(*answer));
   query.clocks.end_in = Millis(static_cast<double>(*end));
   query.clocks.returning = NumberIn(*headers, kReturningHeader) == 1;
+  const auto shards = SplitPlaces(FindHeader(*headers, kShardsHeader));
+  if (!shards) return std::nullopt;
+  query.shards = *shards;
   std::erase_if(*headers, [](const Header& it) {
     return SameName(it.name, kVersionHeader) ||
            SameName(it.name, kAnswerHeader) || SameName(it.name, kEndHeader) ||
-           SameName(it.name, kReturningHeader);
+           SameName(it.name, kReturningHeader) ||
+           SameName(it.name, kShardsHeader);
   });
   return query;
 }
@@ -73,9 +104,26 @@
 };
 
 void PeerSender::SetPeers(const engine::Peer& own,
-                          const std::vector<engine::Peer>& senders) {
+                          const std::vector<engine::Peer>& senders,
+                          const std::vector<engine::Peer>& relays) {
   own_ = own;
   senders_ = senders;
+  relays_ = relays;
+}
+
+bool PeerSender::IsAvoided(const InstanceId& peer) const {
+  const auto avoided = avoided_.find(peer);
+  return avoided != avoided_.end() && loop_->now() < avoided->second;
+}
+
+const engine::Peer* PeerSender::RelayIn(const DataCentreId& where) {
+  const size_t n = relays_.size();
+  ++turn_;
+  for (size_t i = 0; i < n; ++i) {
+    const auto& it = relays_[(turn_ + i) % n];
+    if (it.data_centre == where && !IsAvoided(it.id)) return &it;
+  }
+  return nullptr;
 }
 
 bool PeerSender::IsSender() const {
@@ -88,9 +136,7 @@
   if (!own_ || senders_.empty()) return nullptr;
   std::vector<engine::Peer> there;
   for (const auto& it : senders_) {
-    const auto avoided = avoided_.find(it.id);
-    if (avoided != avoided_.end() && loop_->now() < avoided->second) continue;
-    there.push_back(it);
+    if (!IsAvoided(it.id)) there.push_back(it);
   }
   const auto* chosen = engine::SenderFor(there, *own_, places, ++turn_);
   if (chosen == nullptr) return nullptr;
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hibiscuspick/edge/peer_sender.h"
 #include "hibiscuspick/edge/query_run.h"
 
 namespace hibiscuspick::edge {
@@ -53,17 +54,25 @@
   HttpReply reply;
   reply.status = 200;
   std::string stamps;
-  std::vector<std::string_view> bodies;
-  for (const auto& it : parts_) {
+  std::vector<std::string_view> bodies(merged_.begin(), merged_.end());
+  std::vector<size_t> places;
+  size_t in = 0;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    const auto& it = parts_[i];
     if (!it.in) continue;
+    ++in;
     if (!stamps.empty()) stamps += ", ";
     stamps += FindHeader(it.reply.headers, names.stamp);
     bodies.push_back(it.reply.body);
+    if (!places_.empty()) places.push_back(places_[i]);
   }
   reply.headers.push_back({names.request_id, request_id_});
   reply.headers.push_back({names.part_stamps, std::move(stamps)});
   reply.headers.push_back(
-      {names.parts_missing, std::to_string(parts_.size() - bodies.size())});
+      {names.parts_missing, std::to_string(parts_.size() - in)});
+  if (!places_.empty()) {
+    reply.headers.push_back({std::string(kShardsInHeader), JoinPlaces(places)});
+  }
   reply.headers.push_back({"Content-Type", "application/octet-stream"});
   reply.body = engine::MergeTop(bodies, route_->gather->top);
   return reply;
@@ -137,6 +146,10 @@
 void QueryRun::StopParts(bool caller_left) {
   done_ = true;
   context_->loop->Cancel(std::exchange(timer_, 0));
+  if (caller_left) {
+    for (const auto& give_up : relays_) give_up();
+  }
+  relays_.clear();
   for (auto& part : parts_) {
     if (part.waiting) {
       context_->backends->Withdraw(part.service, *part.waiting);
--- /dev/null
+++ b/packages/edge/src/query_relay.cc
@@ -0,0 +1,136 @@
+// Parts of a query that a peer in another data centre asks for.
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "hibiscuspick/edge/peer_sender.h"
+#include "hibiscuspick/edge/query_run.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+// With less time than this to the answer the hop isn't worth its while.
+constexpr Millis kLeastRelayTime{12};
+
+// A peer that hasn't answered this long after the query's own clock is lost.
+constexpr Millis kRelaySlack{20};
+
+std::vector<std::string> SplitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    std::string_view item = text.substr(0, comma);
+    while (item.starts_with(' ')) item.remove_prefix(1);
+    items.emplace_back(item);
+    if (comma == std::string_view::npos) break;
+    text.remove_prefix(comma + 1);
+  }
+  return items;
+}
+
+}  // namespace
+
+std::vector<size_t> QueryRun::RelayParts(const std::vector<size_t>& asked) {
+  auto* peers = context_->peers;
+  const Millis left = clocks_.answer_at - began_;
+  if (peers == nullptr || !route_->gather || !places_.empty() ||
+      left - context_->relay_lag.high < kLeastRelayTime) {
+    return asked;
+  }
+  std::vector<std::vector<DataCentreId>> places(parts_.size());
+  for (const size_t i : asked) {
+    places[i] = context_->backends->PlacesOfService(parts_[i].service);
+  }
+  const auto groups = engine::GroupRelays(
+      places, context_->backends->policy().choice.own_data_centre,
+      [&](const DataCentreId& where) { return peers->RelayIn(where); });
+  for (const auto& it : groups) {
+    if (!SendRelay(it)) continue;
+    for (const size_t i : it.shards) parts_[i].relayed = true;
+  }
+  std::vector<size_t> rest;
+  std::copy_if(asked.begin(), asked.end(), std::back_inserter(rest),
+               [&](size_t i) { return !parts_[i].relayed; });
+  return rest;
+}
+
+bool QueryRun::SendRelay(const engine::RelayGroup& group) {
+  const auto* peer = context_->peers->RelayIn(group.where);
+  if (peer == nullptr) return false;
+  const Millis left = clocks_.answer_at - began_;
+  HandedQuery query;
+  query.config_version = config_->version;
+  query.clocks.answer_in = left - context_->relay_lag.high;
+  query.clocks.end_in = clocks_.end_at - began_;
+  query.shards = group.shards;
+  HttpRequest sent;
+  sent.method = request_.method;
+  sent.target = request_.target;
+  sent.headers = forwarded_;
+  sent.body = request_.body;
+  AddHanded(query, &sent.headers);
+  relays_.push_back(context_->peers->Send(
+      *peer, ToText(sent), request_.method == "HEAD", left + kRelaySlack,
+      [self = shared_from_this(), shards = group.shards](
+          HandedEnd end, const HttpReply& reply) {
+        self->OnRelayed(shards, end, reply);
+      }));
+  return true;
+}
+
+void QueryRun::OnRelayed(const std::vector<size_t>& shards, HandedEnd end,
+                         const HttpReply& reply) {
+  const auto took = FindHeader(reply.headers, kTookHeader);
+  if (!took.empty()) {
+    const Millis peers(std::strtod(std::string(took).c_str(), nullptr));
+    engine::AddLag(&context_->relay_lag, SteadyNow() - began_ - peers);
+  }
+  if (done_) return;
+  for (const size_t i : shards) parts_[i].relayed = false;
+  const bool begun = end != HandedEnd::kNotBegun;
+  if (end != HandedEnd::kAnswer || !TakeRelayed(shards, reply)) {
+    // Servers may have run them; then asking again is a repeat.
+    for (const size_t i : shards) {
+      if (parts_[i].in || done_) continue;
+      if (begun) {
+        RetryPart(i, true);
+      } else {
+        StartPart(i);
+      }
+    }
+  }
+  if (!done_) Check();
+}
+
+// Takes the parts that a peer's answer names; false if it can't be used. Those
+// it doesn't name have failed there.
+bool QueryRun::TakeRelayed(const std::vector<size_t>& shards,
+                           const HttpReply& reply) {
+  const auto& names = *context_->names;
+  const auto places = SplitPlaces(FindHeader(reply.headers, kShardsInHeader));
+  const auto stamps = SplitList(FindHeader(reply.headers, names.part_stamps));
+  constexpr int kOk = 200;
+  if (reply.status != kOk || !places || places->size() != stamps.size()) {
+    return false;
+  }
+  for (const size_t i : *places) {
+    if (std::find(shards.begin(), shards.end(), i) == shards.end()) {
+      return false;
+    }
+  }
+  for (size_t n = 0; n < places->size(); ++n) {
+    auto& part = parts_[(*places)[n]];
+    part.in = true;
+    part.reply.headers = {{names.stamp, stamps[n]}};
+    part.reply.body.clear();
+  }
+  merged_.push_back(reply.body);
+  for (const size_t i : shards) {
+    if (!parts_[i].in) RetryPart(i, true);
+  }
+  return true;
+}
+
+}  // namespace hibiscuspick::edge
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -24,6 +24,7 @@
 // A shard expected to take more than this share of the time to the target is
 // kept back while the least share goes without it.
 constexpr double kDeferShare = 0.6;
+constexpr double kNeverDefer = 1e9;
 
 // What attempts that only make an answer more complete leave of the budget: a
 // query short of its least share earns a tenth of a whole one, a query without
@@ -97,8 +98,10 @@
   for (size_t i = 0; i < services.size(); ++i) {
     parts_[i].service = services[i];
   }
-  budget_of_ = *std::min_element(services.begin(), services.end());
-  context_->backends->CountRequest(budget_of_);
+  const auto& group = route_->gather ? route_->gather->shards : services;
+  budget_of_ = *std::min_element(group.begin(), group.end());
+  // A part of a query was counted where the whole of it is.
+  if (places_.empty()) context_->backends->CountRequest(budget_of_);
   if (StartParts()) Check();
 }
 
@@ -113,20 +116,22 @@
   const Millis to_target = clocks_.answer_at - began_;
   const auto admission = engine::Admit(
       outlooks, needed, {to_target, clocks_.end_at - began_, returning_});
-  if (!admission.admitted) {
+  if (!admission.admitted && places_.empty()) {
     retry_after_ = admission.retry_after;
     Fail(QueryFault::kOverloaded);
     return false;
   }
   const auto plan =
-      engine::PlanFanOut(outlooks, needed, to_target, kDeferShare);
+      engine::PlanFanOut(outlooks, needed, to_target,
+                         // A peer that asked for parts wants all of them.
+                         places_.empty() ? kDeferShare : kNeverDefer);
   if (!plan.possible) {
     Fail(QueryFault::kNoServer);
     return false;
   }
   for (const size_t i : plan.unreachable) parts_[i].failed = true;
   for (const size_t i : plan.deferred) parts_[i].deferred = true;
-  for (const size_t i : plan.asked) StartPart(i);
+  for (const size_t i : RelayParts(plan.asked)) StartPart(i);
   return true;
 }
 
@@ -303,7 +308,8 @@
     if (part.in || part.failed) continue;
     engine::PartView view;
     view.place = i;
-    view.open = static_cast<int>(part.open.size());
+    // A peer that has it looks after it.
+    view.open = part.relayed ? 0 : static_cast<int>(part.open.size());
     view.since = part.open.empty() ? kNever : part.open[0].since;
     view.deferred = part.deferred;
     view.may_hedge = MayHedge(part);
@@ -336,7 +342,7 @@
   engine::GatherProgress progress;
   progress.shards = parts_.size();
   progress.needed =
-      route_->gather
+      route_->gather && places_.empty()
           ? engine::PartsNeeded(route_->gather->least_share, parts_.size())
           : 1;
   for (const auto& it : parts_) {
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -14,9 +14,6 @@
 
 constexpr Millis kStopCheck{50};
 
-// Where a handed query's answer says how long the peer had it.
-constexpr std::string_view kTookHeader = "Hp-Took-Ms";
-
 // A peer answers by its end; later it is lost.
 constexpr Millis kHandedSlack{100};
 
@@ -38,6 +35,7 @@
   context_.loop = loop;
   context_.backends = &backends_;
   context_.names = &settings_.names;
+  context_.peers = &peers_;
   context_.answer_margin = settings_.answer_margin;
   context_.end_margin = settings_.end_margin;
 }
@@ -139,8 +137,9 @@
 
 void TrafficServer::SetPeers(const engine::Peer& own,
                              const std::vector<engine::Peer>& senders,
+                             const std::vector<engine::Peer>& relays,
                              size_t instances) {
-  peers_.SetPeers(own, senders);
+  peers_.SetPeers(own, senders, relays);
   instances_ = std::max<size_t>(instances, 1);
   if (config_) ShareOut();
 }
@@ -228,13 +227,20 @@
     route = engine::FindRoute(*config_, FindHeader(request.headers, "Host"),
                               request.target);
   }
-  if (route == nullptr) {
+  const bool fits =
+      route != nullptr &&
+      (handed->shards.empty() ||
+       (route->gather && std::all_of(handed->shards.begin(),
+                                     handed->shards.end(), [&](size_t i) {
+                                       return i < route->gather->shards.size();
+                                     })));
+  if (!fits) {
     HttpReply reply;
     reply.status = kOtherVersion;
     session->Reply(reply);
     return;
   }
-  Serve(session, std::move(request), *route, handed->clocks);
+  Serve(session, std::move(request), *route, handed);
 }
 
 // Hands a fan-out to a peer that sends it better; false if this instance does.
@@ -301,11 +307,20 @@
 
 void TrafficServer::Serve(const std::shared_ptr<HttpSession>& session,
                           HttpRequest request, const engine::Route& route,
-                          const std::optional<HandedClocks>& handed) {
+                          const std::optional<HandedQuery>& handed) {
   const std::string id(FindHeader(request.headers, settings_.names.request_id));
   auto query = std::make_shared<QueryRun>(&context_, config_, &route,
                                           PaceOf(route), std::move(request));
-  if (handed) query->set_handed(*handed);
+  std::vector<ServiceId> services;
+  if (handed) query->set_handed(handed->clocks);
+  if (handed && !handed->shards.empty()) {
+    for (const size_t i : handed->shards) {
+      services.push_back(route.gather->shards[i]);
+    }
+    query->set_partial(handed->shards);
+  } else {
+    services = ServicesFor(route);
+  }
   running_.insert(query);
   session->set_on_gone([this, query] {
     query->Cancel();
@@ -313,7 +328,7 @@
   });
   const std::weak_ptr<QueryRun> weak = query;
   query->Start(
-      ServicesFor(route),
+      services,
       [this, session, weak, id, route_id = route.id, version = config_->version,
        is_handed = handed.has_value()](const QueryOutcome& outcome) {
         LogOutcome(id, route_id, version, outcome);
--- /dev/null
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -0,0 +1,156 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "traffic_fixture.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+constexpr size_t kShards = 8;
+
+std::string Record(size_t shard) {
+  return std::string(engine::kRecordBytes, static_cast<char>('a' + shard));
+}
+
+// Two instances in data centres of their own over eight shards; those with an
+// odd place have their server in the second.
+struct TwoPlaces {
+  TrafficFixture here{"here"};
+  TrafficFixture there{"there"};
+  std::vector<RawServer*> servers;
+
+  explicit TwoPlaces(const std::function<bool(size_t)>& fails = {}) {
+    engine::GatherRule rule;
+    rule.top = 3;
+    rule.least_share = 0.5;
+    for (size_t i = 0; i < kShards; ++i) {
+      const std::string service = "shard-" + std::to_string(i);
+      rule.shards.emplace_back(service);
+      servers.push_back(&here.AddServer(service, [=](const std::string& it) {
+        if (fails && fails(i)) return Scripted{.text = "", .resets = true};
+        return Scripted{
+            .text = GoodAnswer(it, "stamp-" + std::to_string(i), Record(i))};
+      }));
+      here.entries().back().data_centre =
+          DataCentreId(i % 2 == 0 ? "here" : "there");
+    }
+    auto& route = here.AddRoute("/g/");
+    route.repeat = engine::Repeat::kIdempotent;
+    route.gather = rule;
+    here.Publish();
+    here.ShareWith(&there);
+  }
+
+  void Introduce(const std::vector<engine::Peer>& senders,
+                 const std::vector<engine::Peer>& relays) {
+    here.OnLoop(
+        [&] { here.server().SetPeers(here.peer(), senders, relays, 2); });
+  }
+  size_t Arrivals() const {
+    size_t n = 0;
+    for (auto* it : servers) n += it->requests().size();
+    return n;
+  }
+};
+
+size_t StampCount(const std::string& answer) {
+  const std::string list = HeaderIn(answer, "Q-Stamps");
+  std::set<std::string> stamps;
+  for (size_t at = 0; (at = list.find("stamp-", at)) != std::string::npos;) {
+    stamps.insert(list.substr(at, 7));
+    ++at;
+  }
+  return stamps.size();
+}
+
+// Parts from another data centre come as one merged answer. Each shard is asked
+// once in all, and the caller sees the same receipts and records as ever.
+BOOST_AUTO_TEST_CASE(FarPartsAreMergedNearTheirServers) {
+  TwoPlaces places;
+  places.Introduce({}, {places.there.peer()});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(StampCount(answer) == kShards);
+  BOOST_TEST(HeaderIn(answer, "Q-Missing") == "0");
+  BOOST_TEST(answer.ends_with(Record(7) + Record(6) + Record(5)));
+  BOOST_TEST(places.Arrivals() == kShards);
+  BOOST_TEST(answer.find("Hp-") == std::string::npos);
+  // What peers say to each other never reaches a server.
+  for (auto* it : places.servers) {
+    BOOST_TEST(it->requests().at(0).find("Hp-") == std::string::npos);
+  }
+}
+
+// The peer can't be reached: its parts are asked for from here, at no cost to
+// the budget since nothing ran.
+BOOST_AUTO_TEST_CASE(LostPeersPartsAreAskedForFromHere) {
+  TwoPlaces places;
+  engine::Peer gone = places.there.peer();
+  gone.queries.port = FreePort();
+  places.Introduce({}, {gone});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards);
+  BOOST_TEST(places.Arrivals() == kShards);
+}
+
+// A peer with another version of the configuration may know other shards. It
+// takes no part.
+BOOST_AUTO_TEST_CASE(PeersOfAnotherVersionTakeNoPart) {
+  TwoPlaces places;
+  places.there.Publish(2);
+  places.Introduce({}, {places.there.peer()});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards);
+  BOOST_TEST(places.Arrivals() == kShards);
+}
+
+// Some of the far servers fail: what the peer has is used, and the caller is
+// told truly what lacks.
+BOOST_AUTO_TEST_CASE(PeersTellWhatLacks) {
+  TwoPlaces places([](size_t i) { return i == 3; });
+  places.Introduce({}, {places.there.peer()});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards - 1);
+  BOOST_TEST(HeaderIn(answer, "Q-Missing") == "1");
+}
+
+// A weak instance hands the whole query to an able one.
+BOOST_AUTO_TEST_CASE(WholeQueriesAreHandedToSenders) {
+  TwoPlaces places;
+  places.Introduce({places.there.peer()}, {});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards);
+  BOOST_TEST(places.Arrivals() == kShards);
+  BOOST_TEST(answer.find("Hp-") == std::string::npos);
+}
+
+// The sender is lost: the query is served from here.
+BOOST_AUTO_TEST_CASE(LostSendersQueriesAreServedHere) {
+  TwoPlaces places;
+  engine::Peer gone = places.there.peer();
+  gone.queries.port = FreePort();
+  places.Introduce({gone}, {});
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(StampCount(places.here.Ask("GET /g/x")) == kShards);
+  }
+}
+
+// What a stranger says on the port for peers must not reach a server without
+// the version and clocks that peers give, nor name shards that aren't there.
+BOOST_AUTO_TEST_CASE(StrangersAreRefused) {
+  TwoPlaces places;
+  const std::string good =
+      "Hp-Config-Version: 1\r\nHp-Answer-In-Ms: 100\r\nHp-End-In-Ms: 200\r\n";
+  for (const std::string& more :
+       {std::string(), good + "Hp-Shards: 1,99\r\n",
+        good + "Hp-Shards: 1,,2\r\n", good + "Hp-Shards: -1\r\n"}) {
+    RawClient client(places.there.peer().queries.port);
+    client.Say(TrafficFixture::RequestText("GET /g/x",
+                                           "Connection: close\r\n" + more));
+    BOOST_TEST(client.Hear().starts_with("HTTP/1.1 409 "));
+  }
+  BOOST_TEST(places.Arrivals() == 0);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::edge
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -47,13 +47,17 @@
 
 class TrafficFixture {
  public:
-  TrafficFixture() {
+  explicit TrafficFixture(const std::string& data_centre = "dc") {
     TrafficSettings settings;
     settings.callers = {"127.0.0.1", FreePort()};
     settings.readiness = {"127.0.0.1", FreePort()};
     settings.readiness_path = "/ready";
+    settings.queries = {"127.0.0.1", FreePort()};
+    peer_.id = InstanceId(data_centre);
+    peer_.data_centre = DataCentreId(data_centre);
+    peer_.queries = settings.queries;
     settings.names = TestNames();
-    settings.backends.choice.own_data_centre = DataCentreId("dc");
+    settings.backends.choice.own_data_centre = DataCentreId(data_centre);
     settings.extra_slack = 10;
     settings.instances = 1;
     settings.stop_refuse = Millis(200);
@@ -139,6 +143,15 @@
     return client.Hear();
   }
 
+  // How other instances reach this one.
+  const engine::Peer& peer() const { return peer_; }
+  // Serves the same routes and servers as the other.
+  void ShareWith(TrafficFixture* other) const {
+    other->config_ = config_;
+    other->entries_ = entries_;
+    other->Publish();
+  }
+
   uint16_t port() const { return port_; }
   bool listened() const { return listened_; }
   TrafficServer& server() { return *server_; }
@@ -146,6 +159,7 @@
 
  private:
   Loop loop_;
+  engine::Peer peer_;
   uint16_t port_ = 0;
   uint16_t ready_port_ = 0;
   bool listened_ = false;
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -65,6 +66,9 @@
 // uninformed, and each data centre has its own news while it is cut off.
 NewsSources SourcesOf(const PeerTable& table, Millis now);
 
+// All other instances that are there.
+std::vector<Peer> PeersThere(const PeerTable& table, Millis now);
+
 // Who sends the many attempts of a fan-out: the instances with the most
 // processor, if they have kAbler times that of the weakest. A fan-out to 90
 // shards takes 4 ms of processor time, 33 ms on an eighth of a core and 8 ms on
@@ -79,4 +83,26 @@
                       const std::vector<DataCentreId>& shard_places,
                       size_t turn);
 
+// Parts of one query that a peer elsewhere asks for, near their servers, and
+// merges before anything crosses the line between data centres.
+struct RelayGroup {
+  DataCentreId where;
+  // Places of the shards in the query.
+  std::vector<size_t> shards;
+};
+
+// Groups the shards that have no server in `own`. `places`: for each shard the
+// data centres that have a server of it; empty for those that are not asked.
+// The data centre with most of them gets all that it has, then the next; fewer
+// than kFewestRelayed aren't worth a message. `has_peer`: whether an instance
+// there can be asked.
+//
+// Answers: a fan-out to 20 shards of which 6 are elsewhere took 5 KB across,
+// one answer of six merged parts takes 1 KB; of 90 shards 20 KB and 1.5 KB.
+inline constexpr size_t kFewestRelayed = 3;
+std::vector<RelayGroup> GroupRelays(
+    const std::vector<std::vector<DataCentreId>>& places,
+    const DataCentreId& own,
+    const std::function<bool(const DataCentreId&)>& has_peer);
+
 }  // namespace hibiscuspick::engine
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -90,6 +90,14 @@
   return sources;
 }
 
+std::vector<Peer> PeersThere(const PeerTable& table, Millis now) {
+  std::vector<Peer> there;
+  for (const auto& [id, peer] : table.peers) {
+    if (id != table.own && IsThere(table, id, now)) there.push_back(peer);
+  }
+  return there;
+}
+
 std::vector<Peer> FanOutSenders(const PeerTable& table, Millis now) {
   if (table.peers.empty()) return {};
   double least = 1e9;
@@ -130,4 +138,34 @@
   return best.empty() ? nullptr : best[turn % best.size()];
 }
 
+std::vector<RelayGroup> GroupRelays(
+    const std::vector<std::vector<DataCentreId>>& places,
+    const DataCentreId& own,
+    const std::function<bool(const DataCentreId&)>& has_peer) {
+  std::map<DataCentreId, std::vector<size_t>> shards_at;
+  for (size_t i = 0; i < places.size(); ++i) {
+    const auto& here = places[i];
+    if (std::find(here.begin(), here.end(), own) != here.end()) continue;
+    for (const auto& it : here) {
+      if (has_peer(it)) shards_at[it].push_back(i);
+    }
+  }
+  std::vector<RelayGroup> groups;
+  while (!shards_at.empty()) {
+    const auto most = std::max_element(
+        shards_at.begin(), shards_at.end(),
+        [](auto& a, auto& b) { return a.second.size() < b.second.size(); });
+    RelayGroup group{most->first, std::move(most->second)};
+    shards_at.erase(most);
+    if (group.shards.size() < kFewestRelayed) break;
+    for (auto& [where, shards] : shards_at) {
+      std::erase_if(shards, [&](size_t i) {
+        return std::binary_search(group.shards.begin(), group.shards.end(), i);
+      });
+    }
+    groups.push_back(std::move(group));
+  }
+  return groups;
+}
+
 }  // namespace hibiscuspick::engine
--- a/packages/engine/tests/peers_test.cc
+++ b/packages/engine/tests/peers_test.cc
@@ -108,5 +108,23 @@
   BOOST_TEST(!SenderFor({}, weak_a, everywhere, 0));
 }
 
+// Each part from another data centre is paid for by the byte. Shards that have
+// a server here never leave, the others leave in as few groups as there can be.
+BOOST_AUTO_TEST_CASE(RelaysTakeWhatIsNotHere) {
+  const DataCentreId a("a");
+  const DataCentreId b("b");
+  const DataCentreId c("c");
+  const std::vector<std::vector<DataCentreId>> places = {
+      {a, b}, {b, c}, {b}, {b, c}, {c, a}, {c}, {c}, {c}, {}};
+  const auto all = GroupRelays(places, a, [](auto&) { return true; });
+  BOOST_TEST_REQUIRE(all.size() == 1);
+  BOOST_TEST((all[0].where == c));
+  BOOST_TEST((all[0].shards == std::vector<size_t>{1, 3, 5, 6, 7}));
+  const auto only_b = GroupRelays(places, a, [&](auto& it) { return it == b; });
+  BOOST_TEST_REQUIRE(only_b.size() == 1);
+  BOOST_TEST((only_b[0].shards == std::vector<size_t>{1, 2, 3}));
+  BOOST_TEST(GroupRelays(places, a, [](auto&) { return false; }).empty());
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
