--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -63,6 +63,8 @@
   // A peer in that data centre that takes parts of queries; nullptr if none is
   // within reach.
   const engine::Peer* RelayIn(const DataCentreId& where);
+  // Of the parts asked for in that data centre this share lacked.
+  void NoteLacking(const DataCentreId& where, double share);
 
   // Hands it over. `on_end` is called once, unless the returned function is
   // called first: the caller has left, and the peer is told by the end of the
@@ -83,6 +85,7 @@
   std::map<InstanceId, std::vector<std::shared_ptr<HttpChannel>>> idle_;
   // Peers that could not be reached, until when they get nothing.
   std::map<InstanceId, Millis> avoided_;
+  std::map<DataCentreId, engine::RelayHealth> health_;
   size_t turn_ = 0;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -157,7 +157,7 @@
   // Hands parts that are far to peers near them; gives the others.
   std::vector<size_t> RelayParts(const std::vector<size_t>& asked);
   bool SendRelay(const engine::RelayGroup& group);
-  void OnRelayed(const std::vector<size_t>& shards, HandedEnd end,
+  void OnRelayed(const engine::RelayGroup& group, HandedEnd end,
                  const HttpReply& reply);
   bool TakeRelayed(const std::vector<size_t>& shards, const HttpReply& reply);
   void WaitForRoom(size_t i, bool extra);
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -116,7 +116,17 @@
   return avoided != avoided_.end() && loop_->now() < avoided->second;
 }
 
+void PeerSender::NoteLacking(const DataCentreId& where, double share) {
+  auto& health = health_[where];
+  const Millis before = health.avoided_until;
+  engine::NoteRelay(&health, share, loop_->now());
+  if (health.avoided_until > before) {
+    Log(Part::kMembers).info("parts from {} lack: asks itself", where.text);
+  }
+}
+
 const engine::Peer* PeerSender::RelayIn(const DataCentreId& where) {
+  if (loop_->now() < health_[where].avoided_until) return nullptr;
   const size_t n = relays_.size();
   ++turn_;
   for (size_t i = 0; i < n; ++i) {
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -73,15 +73,20 @@
   AddHanded(query, &sent.headers);
   relays_.push_back(context_->peers->Send(
       *peer, ToText(sent), request_.method == "HEAD", left + kRelaySlack,
-      [self = shared_from_this(), shards = group.shards](
-          HandedEnd end, const HttpReply& reply) {
-        self->OnRelayed(shards, end, reply);
+      [self = shared_from_this(), group](HandedEnd end,
+                                         const HttpReply& reply) {
+        self->OnRelayed(group, end, reply);
       }));
   return true;
 }
 
-void QueryRun::OnRelayed(const std::vector<size_t>& shards, HandedEnd end,
+void QueryRun::OnRelayed(const engine::RelayGroup& group, HandedEnd end,
                          const HttpReply& reply) {
+  const auto& shards = group.shards;
+  const auto named = SplitPlaces(FindHeader(reply.headers, kShardsInHeader));
+  const double in = named ? static_cast<double>(named->size()) : 0;
+  context_->peers->NoteLacking(group.where,
+                               1 - in / static_cast<double>(shards.size()));
   const auto took = FindHeader(reply.headers, kTookHeader);
   if (!took.empty()) {
     const Millis peers(std::strtod(std::string(took).c_str(), nullptr));
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -105,4 +105,16 @@
     const DataCentreId& own,
     const std::function<bool(const DataCentreId&)>& has_peer);
 
+// How well relays to one data centre go. Who relays sees nothing of the queues
+// there, so that it neither keeps shards back nor refuses in time: under
+// overload it asks the servers itself.
+struct RelayHealth {
+  // The share of parts that lacked in answers, recent ones weighing more.
+  double lacking = 0;
+  Millis avoided_until{-1};
+};
+
+// One answer, with the share of its parts that lacked; 1 for none at all.
+void NoteRelay(RelayHealth* health, double lacking, Millis now);
+
 }  // namespace hibiscuspick::engine
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -15,6 +15,12 @@
 // How many times the weakest instance's processor makes an able one.
 constexpr double kAbler = 2;
 
+// One of seven parts met by a pause in three of ten answers is 0.04; at twice
+// that the servers are slow or crowded.
+constexpr double kMostLacking = 0.1;
+constexpr double kAnswerWeight = 0.1;
+constexpr Millis kRelayAvoidance{2000};
+
 bool IsThere(const PeerTable& table, const InstanceId& id, Millis now) {
   if (id == table.own) return true;
   const auto silent = table.silent.find(id);
@@ -168,4 +174,13 @@
   return groups;
 }
 
+void NoteRelay(RelayHealth* health, double lacking, Millis now) {
+  health->lacking += kAnswerWeight * (lacking - health->lacking);
+  if (health->lacking <= kMostLacking) return;
+  health->avoided_until = now + kRelayAvoidance;
+  // Half of it is forgiven, so that one bad answer after the pause is enough to
+  // go on asking directly, and ten good ones are to return.
+  health->lacking /= 2;
+}
+
 }  // namespace hibiscuspick::engine
--- a/packages/engine/tests/peers_test.cc
+++ b/packages/engine/tests/peers_test.cc
@@ -126,5 +126,17 @@
   BOOST_TEST(GroupRelays(places, a, [](auto&) { return false; }).empty());
 }
 
+// Servers elsewhere are overloaded. Whoever relays can't tell, and all its
+// callers get answers short of the same shards until it asks for itself.
+BOOST_AUTO_TEST_CASE(RelaysStopWhenTheirPartsLack) {
+  RelayHealth health;
+  for (int i = 0; i < 100; ++i) {
+    NoteRelay(&health, i % 3 == 0 ? 1.0 / 7 : 0, Millis(i));
+  }
+  BOOST_TEST(health.avoided_until.count < 0);
+  for (int i = 0; i < 4; ++i) NoteRelay(&health, 0.5, Millis(200));
+  BOOST_TEST(health.avoided_until.count == 2200);
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
