Linter's findings; the soak takes a daemon for one fault at a time

Cause (soak, seeds 1, 13, 22, 24): two faults spawned one daemon twice, the second could not listen (exit 3) and the harness lost sight of the first.

--- a/packages/edge/include/hibiscuspick/edge/byte_stream.h
+++ b/packages/edge/include/hibiscuspick/edge/byte_stream.h
@@ -41,7 +41,7 @@
   // Begins to read. The handlers are kept until Close.
   void Start(Handlers handlers);
 
-  void Write(std::string text);
+  void Write(const std::string& text);
   // Whether the kernel has taken all that was written.
   bool IsFlushed() const { return unsent_.empty(); }
 
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/millis.h"
--- a/packages/edge/include/hibiscuspick/edge/http_session.h
+++ b/packages/edge/include/hibiscuspick/edge/http_session.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/result.h"
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/edge/backends.h"
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -65,7 +65,7 @@
 
   // Not ready from now on; `done` is called when nothing is in hand any more
   // or the time is up.
-  void Stop(std::function<void()> done);
+  void Stop(const std::function<void()>& done);
 
  private:
   SessionPolicy CallersPolicy();
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -169,7 +169,7 @@
 std::shared_ptr<HttpChannel> Backends::TakeIdle(Server* server, bool once) {
   auto& idle = server->idle;
   while (!idle.empty()) {
-    const auto channel = idle.back();
+    auto channel = idle.back();
     idle.pop_back();
     if (!channel->IsIdle()) continue;
     const Millis age = loop_->now() - channel->idle_since();
--- a/packages/edge/src/byte_stream.cc
+++ b/packages/edge/src/byte_stream.cc
@@ -122,7 +122,7 @@
   WaitReadable();
 }
 
-void ByteStream::Write(std::string text) {
+void ByteStream::Write(const std::string& text) {
   if (!IsOpen() || close_when_flushed_) return;
   const bool waiting = !unsent_.empty();
   unsent_.append(text);
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -45,8 +45,8 @@
   policy.limits = [this] {
     return config_ ? config_->limits : engine::CallerLimits();
   };
-  policy.on_request = [this](const auto& session, HttpRequest request) {
-    OnRequest(session, std::move(request));
+  policy.on_request = [this](const auto& session, const HttpRequest& request) {
+    OnRequest(session, request);
   };
   policy.closing = [this] { return stopping_ || useless_; };
   return policy;
@@ -75,8 +75,8 @@
     limits.idle_timeout = Millis(60000);
     return limits;
   };
-  policy.on_request = [this](const auto& session, HttpRequest request) {
-    OnHanded(session, std::move(request));
+  policy.on_request = [this](const auto& session, const HttpRequest& request) {
+    OnHanded(session, request);
   };
   policy.closing = [this] { return stopping_; };
   return policy;
@@ -192,8 +192,9 @@
   HttpReply reply;
   reply.status = status;
   reply.headers.push_back({settings_.names.request_id, std::string(id)});
-  if (status == 503)
+  if (status == 503) {
     reply.headers.push_back({"Retry-After", std::string(kSoon)});
+  }
   reply.body = R"({"error":")" + std::string(why) + R"("})";
   session->Reply(reply);
 }
@@ -360,7 +361,7 @@
            outcome.ran ? "maybe" : "no");
 }
 
-void TrafficServer::Stop(std::function<void()> done) {
+void TrafficServer::Stop(const std::function<void()>& done) {
   if (stopping_) return;
   stopping_ = true;
   stop_began_ = loop_->now();
--- a/packages/edge/tests/bad_requests_test.cc
+++ b/packages/edge/tests/bad_requests_test.cc
@@ -20,29 +20,36 @@
   return out << row.name;
 }
 
-const std::string kHead = "POST /p/x HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\n";
+const char kHead[] = "POST /p/x HTTP/1.1\r\nHost: h\r\nQ-Id: one\r\n";
 
 const BadRow kBad[] = {
     {"two lengths",
-     kHead + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+     std::string(kHead) + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+     400},
     {"length and chunks",
-     kHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     std::string(kHead) +
+         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
      400},
     {"chunks and length",
-     kHead + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+     std::string(kHead) +
+         "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
      400},
     {"bare line ends", "GET /p/x HTTP/1.1\nHost: h\n\n", 400},
-    {"a space in a name", kHead + "Content-Length : 3\r\n\r\nabc", 400},
-    {"a folded header", kHead + "A: b\r\n c\r\nX Y: z\r\n\r\n", 400},
+    {"a space in a name", std::string(kHead) + "Content-Length : 3\r\n\r\nabc",
+     400},
+    {"a folded header", std::string(kHead) + "A: b\r\n c\r\nX Y: z\r\n\r\n",
+     400},
     {"no HTTP", "hello\r\n\r\n", 400},
-    {"a length that is none", kHead + "Content-Length: -1\r\n\r\n", 400},
-    {"a chunk that is none", kHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    {"a length that is none", std::string(kHead) + "Content-Length: -1\r\n\r\n",
      400},
-    {"a header too long", kHead + "A: " + std::string(20000, 'a') + "\r\n\r\n",
-     431},
-    {"a body too long", kHead + "Content-Length: 300000\r\n\r\n", 413},
+    {"a chunk that is none",
+     std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+    {"a header too long",
+     std::string(kHead) + "A: " + std::string(20000, 'a') + "\r\n\r\n", 431},
+    {"a body too long", std::string(kHead) + "Content-Length: 300000\r\n\r\n",
+     413},
     {"a chunked body too long",
-     kHead + "Transfer-Encoding: chunked\r\n\r\n50000\r\n" +
+     std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n50000\r\n" +
          std::string(0x50000, 'a') + "\r\n",
      413},
 };
--- a/packages/edge/tests/traffic_test.cc
+++ b/packages/edge/tests/traffic_test.cc
@@ -124,13 +124,13 @@
   return out << row.name;
 }
 
-const std::string kRefusal =
+const char kRefusal[] =
     "HTTP/1.1 503 Service Unavailable\r\nQ-Id: one\r\nQ-Not-Run: 1\r\n"
     "Content-Length: 0\r\n\r\n";
-const std::string kForeign =
+const char kForeign[] =
     "HTTP/1.1 421 Misdirected Request\r\nQ-Id: one\r\nContent-Length: "
     "0\r\n\r\n";
-const std::string kFailure =
+const char kFailure[] =
     "HTTP/1.1 500 Internal Server Error\r\nQ-Id: one\r\nQ-Stamp: s\r\n"
     "Content-Length: 4\r\n\r\noops";
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,6 +47,8 @@
         self.callers, self.ready = free_port(), free_port()
         self.path = os.path.join(folder, name + ".json")
         self.process = None
+        # A fault of its process is on: another one waits its turn elsewhere.
+        self.taken = False
         # Spans in which the daemon is owed nothing, and those of planned stops.
         self.disturbed = []
         self.store_proxy = Proxy(store_port)
@@ -150,31 +152,45 @@
 
     # --- faults: each ends by itself and notes what it disturbed
 
+    def take(self, most):
+        """Some daemons whose processes no other fault has in hand."""
+        free = [it for it in self.daemons if not it.taken]
+        some = self.random.sample(free, min(len(free), most))
+        for it in some:
+            it.taken = True
+        return some
+
     def disturb(self, daemons, until, planned=False):
         for it in daemons:
             # A calm time after it, as long as news may be on their way.
             it.disturbed.append((self.now() - 0.1, until + (0 if planned else CONFIG_BOUND), planned))
 
     async def fault_kill(self, hold):
-        some = self.random.sample(self.daemons, self.random.randint(1, 5))
+        some = self.take(self.random.randint(1, 5))
         self.disturb(some, self.now() + hold + 2)
         for it in some:
             it.signal(signal.SIGKILL)
         await asyncio.sleep(hold / 2)
         await asyncio.gather(*(it.process.wait() for it in some))
         await asyncio.gather(*(it.spawn() for it in some))
+        for it in some:
+            it.taken = False
 
     async def fault_freeze(self, hold):
-        some = self.random.sample(self.daemons, 2)
+        some = self.take(2)
         self.disturb(some, self.now() + hold)
         for it in some:
             it.signal(signal.SIGSTOP)
         await asyncio.sleep(hold)
         for it in some:
             it.signal(signal.SIGCONT)
+            it.taken = False
 
     async def fault_stop(self, _hold):
-        it = self.random.choice(self.daemons)
+        some = self.take(1)
+        if not some:
+            return
+        it = some[0]
         self.disturb([it], self.now() + GRACE + 1, planned=True)
         it.signal(signal.SIGTERM)
         try:
@@ -184,6 +200,7 @@
             it.signal(signal.SIGKILL)
             await it.process.wait()
         await it.spawn()
+        it.taken = False
 
     async def fault_hup(self, _hold):
         for it in self.random.sample(self.daemons, 3):
@@ -360,7 +377,14 @@
         late = [call for call in self.calls if call["sent"] > since]
         served = sum(1 for call in late if call["status"] == 200)
         if len(late) < 20 or served < 0.9 * len(late):
-            self.breaks("recovery", f"{served} of {len(late)} served after the last fault")
+            missed = {}
+            for call in late:
+                if call["status"] != 200:
+                    key = (call["kind"], call["status"] or call.get("error"), call["daemon"].name)
+                    missed[key] = missed.get(key, 0) + 1
+            most = sorted(missed.items(), key=lambda it: -it[1])[:6]
+            self.breaks("recovery", f"{served} of {len(late)} served after the last fault; "
+                        + ", ".join(f"{n} x {kind} {what} at {name}" for (kind, what, name), n in most))
 
     # --- one run
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -45,7 +45,7 @@
         self.writers.add(writer)
         try:
             await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
                 asyncio.CancelledError):
             # The other side left, or the run is over.
             pass
