--- a/packages/base/include/hibiscuspick/base/log.h
+++ b/packages/base/include/hibiscuspick/base/log.h
@@ -35,12 +35,16 @@
 std::unique_ptr<spdlog::formatter> MakeLogFormatter(
     LogFormat format, const std::string& instance);
 
-// Sets up all loggers of the process, writing to standard error. `level` is one
+// Where lines go.
+enum class LogStream { kStandardError, kStandardOutput };
+
+// Sets up all loggers of the process. `level` is one
 // of spdlog's names ("debug", "info", "warn", "error", "off"). Lines are
 // written by a background thread; when its queue overflows the oldest lines are
 // dropped rather than traffic held up.
 void StartLogs(LogFormat format, const std::string& level,
-               const std::string& instance);
+               const std::string& instance,
+               LogStream stream = LogStream::kStandardError);
 
 // Writes what is still queued. Called once, before exit.
 void StopLogs();
--- a/packages/base/src/log.cc
+++ b/packages/base/src/log.cc
@@ -78,9 +78,14 @@
 }
 
 void StartLogs(LogFormat format, const std::string& level,
-               const std::string& instance) {
+               const std::string& instance, LogStream stream) {
   spdlog::init_thread_pool(kQueueLines, 1);
-  const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  spdlog::sink_ptr sink;
+  if (stream == LogStream::kStandardOutput) {
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  }
   for (size_t i = 0; i < kNames.size(); ++i) {
     auto logger = std::make_shared<spdlog::async_logger>(
         std::string(kNames[i]), sink, spdlog::thread_pool(),
--- /dev/null
+++ b/packages/edge/include/hibiscuspick/edge/query_metrics.h
@@ -0,0 +1,35 @@
+// What an instance counts of its queries, as Prometheus text.
+#pragma once
+
+#include <array>
+#include <string>
+
+#include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/metrics/registry.h"
+
+namespace hibiscuspick::edge {
+
+inline constexpr std::string_view kMetricsPath = "/metrics";
+
+class QueryMetrics {
+ public:
+  QueryMetrics();
+  void Count(const QueryOutcome& outcome);
+  void CountHandedOver() { handed_over_->Add(); }
+  // A request that was refused before it became a query.
+  void CountRefused() { refused_->Add(); }
+  std::string Text() const { return registry_.PrometheusText(); }
+
+ private:
+  metrics::Registry registry_;
+  std::array<metrics::Counter*, kQueryFaultCount> by_fault_{};
+  metrics::Counter* shards_in_;
+  metrics::Counter* shards_missing_;
+  metrics::Counter* kept_back_;
+  metrics::Counter* extras_;
+  metrics::Counter* handed_over_;
+  metrics::Counter* refused_;
+  metrics::Latency* took_;
+};
+
+}  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -64,6 +64,8 @@
   // The instance stops; it may have run.
   kStopping,
 };
+inline constexpr size_t kQueryFaultCount =
+    static_cast<size_t>(QueryFault::kStopping) + 1;
 std::string_view FaultName(QueryFault fault);
 
 // How a query ended that was handed to a peer.
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -17,6 +17,7 @@
 #include "hibiscuspick/edge/http_session.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/peer_sender.h"
+#include "hibiscuspick/edge/query_metrics.h"
 #include "hibiscuspick/edge/query_run.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/route_pace.h"
@@ -26,7 +27,8 @@
 
 struct TrafficSettings {
   Address callers;
-  // Where the balancer asks whether this instance is ready, and the path.
+  // Where the balancer asks whether this instance is ready, and the path; the
+  // metrics are there too.
   Address readiness;
   std::string readiness_path;
   // Where peers hand queries to.
@@ -105,6 +107,7 @@
   HttpListener readiness_;
   HttpListener queries_;
   PeerSender peers_;
+  QueryMetrics metrics_;
   size_t instances_;
   // What handing a query over costs in time, beside the peer's own, within the
   // data centre and to another. The first guess is a way and a half.
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -57,8 +57,14 @@
   policy.limits = [] { return engine::CallerLimits(); };
   policy.on_request = [this](const auto& session, const HttpRequest& request) {
     HttpReply reply;
-    const bool asks = request.target.starts_with(settings_.readiness_path);
-    reply.status = !asks ? 404 : IsReady() ? 200 : 503;
+    if (request.target == kMetricsPath) {
+      reply.status = 200;
+      reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+      reply.body = metrics_.Text();
+    } else {
+      const bool asks = request.target.starts_with(settings_.readiness_path);
+      reply.status = !asks ? 404 : IsReady() ? 200 : 503;
+    }
     session->Reply(reply);
   };
   policy.closing = [] { return false; };
@@ -189,6 +195,7 @@
                            int status, std::string_view why) {
   const auto id = FindHeader(request.headers, settings_.names.request_id);
   Log(Part::kFront).info("request {}: {} {}", id, status, why);
+  metrics_.CountRefused();
   HttpReply reply;
   reply.status = status;
   reply.headers.push_back({settings_.names.request_id, std::string(id)});
@@ -278,6 +285,7 @@
         OnPeerAnswer(session, request, end, reply);
       });
   session->set_on_gone(give_up);
+  metrics_.CountHandedOver();
   return true;
 }
 
@@ -348,6 +356,7 @@
 void TrafficServer::LogOutcome(const std::string& request_id,
                                const RouteId& route, uint64_t version,
                                const QueryOutcome& outcome) {
+  metrics_.Count(outcome);
   const auto level = outcome.fault == QueryFault::kNone ? spdlog::level::debug
                                                         : spdlog::level::info;
   if (!Log(Part::kRoute).should_log(level)) return;
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -137,9 +137,9 @@
     client.Say(RequestText(line, "Connection: close\r\n" + more));
     return client.Hear();
   }
-  std::string AskReady() const {
+  std::string AskReady(const std::string& path = "/ready") const {
     RawClient client(ready_port_);
-    client.Say("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+    client.Say("GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n");
     return client.Hear();
   }
 
--- a/packages/edge/tests/traffic_test.cc
+++ b/packages/edge/tests/traffic_test.cc
@@ -262,6 +262,24 @@
   BOOST_TEST((SteadyNow() - began).count < 3000);
 }
 
+// Those on call see what became of queries without reading logs.
+BOOST_AUTO_TEST_CASE(MetricsCountWhatBecameOfQueries) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s", Answers("stamp-1", ""));
+  fixture.Publish();
+  fixture.Ask("GET /p/x");
+  fixture.Ask("GET /nowhere/");
+  const auto text = fixture.AskReady("/metrics");
+  for (const char* line :
+       {"hibiscuspick_edge_queries_total{fault=\"none\"} 1\n",
+        "hibiscuspick_edge_queries_total{fault=\"time_up\"} 0\n",
+        "hibiscuspick_edge_refused_total 1\n",
+        "# TYPE hibiscuspick_edge_query_seconds histogram\n"}) {
+    BOOST_TEST(text.find(line) != std::string::npos, line);
+  }
+}
+
 // An older configuration that comes late must not come into force again.
 BOOST_AUTO_TEST_CASE(ConfigurationNeverGoesBack) {
   TrafficFixture fixture;
