A peer and the owner of a query keep to the route's attempts together

Ruled out: retries of callers (one request id). Test: four servers of a broken shard were tried, now two. Also: what sessions, servers and peers hold is let go at the end (leak sanitizer), and asio's fences are no error under the thread sanitizer.

--- a/cmake/HibiscusPackage.cmake
+++ b/cmake/HibiscusPackage.cmake
@@ -6,6 +6,11 @@
   target_compile_options(hp_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow
                                                -Wconversion -Wold-style-cast
                                                -Werror)
+  # Asio's hand-over between threads has fences beside its locks; the thread
+  # sanitizer doesn't know fences, sees the locks, and g++ warns of the former.
+  if(CMAKE_CXX_FLAGS MATCHES "fsanitize=thread")
+    target_compile_options(hp_warnings INTERFACE -Wno-tsan)
+  endif()
 endif()
 
 # hp_package(NAME DEPENDS targets...): a static library hp_NAME from src/*.cc
--- a/packages/edge/include/hibiscuspick/edge/http_session.h
+++ b/packages/edge/include/hibiscuspick/edge/http_session.h
@@ -42,6 +42,8 @@
   // Called once if the caller leaves before its answer. Set for each request.
   void set_on_gone(std::function<void()> it) { on_gone_ = std::move(it); }
 
+  // Ends it at once, without an answer; nobody is told.
+  void Abort();
   // Ends it if no request is in hand or being read.
   void CloseIfIdle();
   bool IsBusy() const { return busy_; }
@@ -73,6 +75,10 @@
 class HttpListener {
  public:
   HttpListener(Loop* loop, SessionPolicy policy);
+  // Sessions and their streams hold each other until one is closed.
+  ~HttpListener();
+  HttpListener(const HttpListener&) = delete;
+  HttpListener& operator=(const HttpListener&) = delete;
 
   // Errors: kInvalidValue if the address can't be listened on.
   Result<Done> Listen(const Address& address);
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -48,6 +48,9 @@
   using OnEnd = std::function<void(HandedEnd, HttpReply)>;
 
   explicit PeerSender(Loop* loop) : loop_(loop) {}
+  ~PeerSender();
+  PeerSender(const PeerSender&) = delete;
+  PeerSender& operator=(const PeerSender&) = delete;
 
   // `relays`: those that ask for parts near them.
   void SetPeers(const engine::Peer& own,
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -34,7 +34,16 @@
 
 Backends::Backends(Loop* loop, BackendsPolicy policy)
     : loop_(loop), policy_(std::move(policy)) {}
-Backends::~Backends() = default;
+
+// Channels and their streams hold each other until one is closed.
+Backends::~Backends() {
+  for (const auto& [id, server] : servers_) {
+    for (const auto& it : server->idle) it->Close();
+  }
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt->channel) attempt->channel->Close();
+  }
+}
 
 Backends::ServiceState& Backends::StateOf(const ServiceId& service) {
   auto& state = services_[service];
--- a/packages/edge/src/http_session.cc
+++ b/packages/edge/src/http_session.cc
@@ -130,6 +130,13 @@
   End();
 }
 
+void HttpSession::Abort() {
+  loop_->Cancel(std::exchange(timer_, 0));
+  on_gone_ = nullptr;
+  on_end_ = nullptr;
+  stream_->Close();
+}
+
 void HttpSession::CloseIfIdle() {
   if (!busy_ && !(reader_ && reader_->started()) && in_.empty()) End();
 }
@@ -144,6 +151,10 @@
 HttpListener::HttpListener(Loop* loop, SessionPolicy policy)
     : loop_(loop), policy_(std::move(policy)), acceptor_(loop->io()) {}
 
+HttpListener::~HttpListener() {
+  for (const auto& it : sessions_) it->Abort();
+}
+
 Result<Done> HttpListener::Listen(const Address& address) {
   boost::system::error_code ec;
   const auto ip = asio::ip::make_address(address.ip, ec);
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -103,6 +103,13 @@
   OnEnd on_end;
 };
 
+// Channels and their streams hold each other until one is closed.
+PeerSender::~PeerSender() {
+  for (const auto& [id, channels] : idle_) {
+    for (const auto& it : channels) it->Close();
+  }
+}
+
 void PeerSender::SetPeers(const engine::Peer& own,
                           const std::vector<engine::Peer>& senders,
                           const std::vector<engine::Peer>& relays) {
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -94,6 +94,10 @@
   }
   if (done_) return;
   for (const size_t i : shards) parts_[i].relayed = false;
+  // The peer may have sent each part to a server of its choice.
+  if (end != HandedEnd::kNotBegun) {
+    for (const size_t i : shards) parts_[i].ran_on.emplace_back();
+  }
   const bool begun = end != HandedEnd::kNotBegun;
   if (end != HandedEnd::kAnswer || !TakeRelayed(shards, reply)) {
     // Servers may have run them; then asking again is a repeat.
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -274,7 +274,8 @@
 void QueryRun::RetryPart(size_t i, bool ran) {
   auto& part = parts_[i];
   if (!part.open.empty() || part.waiting) return;
-  const bool may_repeat = route_->repeat == Repeat::kIdempotent || !ran;
+  const bool may_repeat =
+      !ran || (route_->repeat == Repeat::kIdempotent && places_.empty());
   const bool may_run =
       part.ran_on.size() < static_cast<size_t>(route_->attempts);
   if (!may_repeat || !may_run || part.refusals > kMostRefusals) {
@@ -294,8 +295,10 @@
 }
 
 bool QueryRun::MayHedge(const Part& part) const {
-  return route_->repeat == Repeat::kIdempotent && route_->attempts > 1 &&
-         part.open.size() == 1 &&
+  // A peer that asks for some parts sends each to one server: the whole query's
+  // owner counts that one against the route's attempts, and may send the rest.
+  return places_.empty() && route_->repeat == Repeat::kIdempotent &&
+         route_->attempts > 1 && part.open.size() == 1 &&
          part.ran_on.size() < static_cast<size_t>(route_->attempts);
 }
 
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -114,6 +114,28 @@
   BOOST_TEST(HeaderIn(answer, "Q-Missing") == "1");
 }
 
+// A shard's servers break off, one after the other. The peer has tried one and
+// the owner another: a third would be more than the route allows, load on
+// servers that are in trouble already.
+BOOST_AUTO_TEST_CASE(PeerAndOwnerKeepToTheAttemptsTogether) {
+  TwoPlaces places([](size_t i) { return i == 3; });
+  for (int k = 0; k < 3; ++k) {
+    places.servers.push_back(&places.here.AddServer(
+        "shard-3", [](auto&) { return Scripted{.text = "", .resets = true}; }));
+    places.here.entries().back().data_centre = DataCentreId("there");
+  }
+  places.here.Publish();
+  places.here.ShareWith(&places.there);
+  places.Introduce({}, {places.there.peer()});
+  const auto answer = places.here.Ask("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards - 1);
+  size_t tried = places.servers[3]->requests().size();
+  for (size_t k = kShards; k < places.servers.size(); ++k) {
+    tried += places.servers[k]->requests().size();
+  }
+  BOOST_TEST(tried == 2);
+}
+
 // A weak instance hands the whole query to an able one.
 BOOST_AUTO_TEST_CASE(WholeQueriesAreHandedToSenders) {
   TwoPlaces places;
