A cut-off instance is back at the store in time to drop servers that left

Ruled out: believing removals at once on return, which would empty services after an outage (directory_test).

--- a/packages/engine/include/hibiscuspick/engine/directory.h
+++ b/packages/engine/include/hibiscuspick/engine/directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
@@ -22,8 +23,9 @@
   Millis doubtful_until{-1};
 };
 
-// How long after the store's return its entries may still be missing.
-inline constexpr Millis kReturnTime{2500};
+// How long after the store's return its entries may still be missing: servers
+// write themselves in again within two seconds; the rest is for the way.
+inline constexpr Millis kReturnTime{2200};
 
 // The store failed, hung or cut a watch; seen at `now`.
 void NoteStoreTrouble(Directory* directory, Millis now);
@@ -35,6 +37,9 @@
 void PutEntry(Directory* directory, const ServerEntry& entry);
 void RemoveEntry(Directory* directory, const BackendServerId& id, Millis now);
 
+// When the next entry stops being believed.
+std::optional<Millis> NextLapse(const Directory& directory);
+
 // Drops what has lapsed for good; true if anything was dropped.
 bool DropLapsed(Directory* directory, Millis now);
 
--- a/packages/engine/src/directory.cc
+++ b/packages/engine/src/directory.cc
@@ -36,6 +36,14 @@
   directory->lapsing.try_emplace(id, now + kReturnTime);
 }
 
+std::optional<Millis> NextLapse(const Directory& directory) {
+  std::optional<Millis> next;
+  for (const auto& [id, due] : directory.lapsing) {
+    next = next ? Min(*next, due) : due;
+  }
+  return next;
+}
+
 bool DropLapsed(Directory* directory, Millis now) {
   bool dropped = false;
   for (auto it = directory->lapsing.begin(); it != directory->lapsing.end();) {
