--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,194 @@
+"""Faults from outside: each ends by itself and notes what it disturbed."""
+
+import asyncio
+import signal
+
+from daemons import GRACE
+from promises import CONFIG_BOUND, DRAIN_BOUND
+
+
+class Faults:
+    def take(self, most):
+        """Some daemons whose processes no other fault has in hand."""
+        free = [it for it in self.daemons if not it.taken]
+        some = self.random.sample(free, min(len(free), most))
+        for it in some:
+            it.taken = True
+        return some
+
+    def disturb(self, daemons, until, planned=False):
+        for it in daemons:
+            # A calm time after it, as long as news may be on their way.
+            it.disturbed.append((self.now() - 0.1, until + (0 if planned else CONFIG_BOUND), planned))
+
+    async def fault_kill(self, hold):
+        some = self.take(self.random.randint(1, 5))
+        self.disturb(some, self.now() + hold + 2)
+        for it in some:
+            it.signal(signal.SIGKILL)
+        await asyncio.sleep(hold / 2)
+        await asyncio.gather(*(it.process.wait() for it in some))
+        await asyncio.gather(*(it.spawn() for it in some))
+        for it in some:
+            it.taken = False
+
+    async def fault_freeze(self, hold):
+        some = self.take(2)
+        self.disturb(some, self.now() + hold)
+        for it in some:
+            it.signal(signal.SIGSTOP)
+        await asyncio.sleep(hold)
+        for it in some:
+            it.signal(signal.SIGCONT)
+            it.taken = False
+
+    async def fault_stop(self, _hold):
+        some = self.take(1)
+        if not some:
+            return
+        it = some[0]
+        self.disturb([it], self.now() + GRACE + 1, planned=True)
+        it.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(it.process.wait(), GRACE)
+        except asyncio.TimeoutError:
+            self.breaks("stop", f"{it.name} still runs after its grace")
+            it.signal(signal.SIGKILL)
+            await it.process.wait()
+        await it.spawn()
+        it.taken = False
+
+    async def fault_hup(self, _hold):
+        for it in self.random.sample(self.daemons, 3):
+            it.signal(signal.SIGHUP)
+
+    async def fault_store(self, hold):
+        store = self.world.store
+        self.disturb(self.daemons, self.now() + hold)
+        mode = self.random.choice(["silent", "busy", "slow", "lossy", "forgets", "lapse"])
+        lapsed = []
+        if mode == "slow":
+            store.delay = 0.2
+        elif mode == "lossy":
+            store.lose_writes = 0.5
+        elif mode == "forgets":
+            store.forget_history()
+        elif mode == "lapse":
+            # Servers that are well can't renew their entries.
+            store.mode = "silent"
+            lapsed = self.random.sample([it for it in self.world.backends if it.drained_at is None], 4)
+            for it in lapsed:
+                store.remove("servers", it.name)
+        else:
+            store.mode = mode
+        await asyncio.sleep(hold)
+        store.delay, store.lose_writes, store.mode = 0.0, 0.0, "well"
+        store.reset_all()
+        await asyncio.sleep(self.random.uniform(0.5, 1.8) if lapsed else 0)
+        for it in lapsed:
+            if it.drained_at is None:
+                self.world.write_entry(it, "ready")
+
+    async def fault_store_cut(self, hold):
+        some = self.random.sample(self.daemons, self.random.randint(1, 4))
+        self.disturb(some, self.now() + hold)
+        ways = self.random.choice([{"to"}, {"from"}, {"to", "from"}])
+        for it in some:
+            it.store_proxy.cut = ways
+        await asyncio.sleep(hold)
+        for it in some:
+            it.store_proxy.cut = set()
+            it.store_proxy.reset_all()
+
+    async def fault_backend(self, hold):
+        some = self.random.sample(self.world.backends, self.random.randint(1, 4))
+        mode = self.random.choice(["shed", "slow", "lossy", "garbled", "paused"])
+        for it in some:
+            it.mode = mode
+            if mode == "paused":
+                it.paused_until = self.now() + hold
+        await asyncio.sleep(hold)
+        for it in some:
+            it.mode = "well"
+
+    async def fault_backend_link(self, hold):
+        some = [self.world.proxies[it.name]
+                for it in self.random.sample(self.world.backends, self.random.randint(1, 3))]
+        what = self.random.choice(["delay", "reset", "to", "from"])
+        for it in some:
+            if what == "delay":
+                it.delay = 0.05
+            elif what == "reset":
+                it.reset_all()
+            else:
+                it.cut = {what}
+        await asyncio.sleep(hold)
+        for it in some:
+            it.delay, it.cut = 0.0, set()
+            it.reset_all()
+
+    async def fault_drain(self, _hold):
+        left = [it for it in self.world.backends if it.drained_at is None]
+        it = self.random.choice([it for it in left if it.service == "plain"] or left)
+        if sum(1 for other in left if other.service == it.service) < 2:
+            return
+        it.drained_at = self.now()
+        if self.random.random() < 0.5:
+            # It leaves without a word.
+            self.world.store.remove("servers", it.name)
+            return
+        self.world.write_entry(it, "draining")
+        await asyncio.sleep(DRAIN_BOUND + 1)
+        self.world.store.remove("servers", it.name)
+
+    async def fault_config(self, _hold):
+        self.write_config([f"n{self.version}"])
+
+    async def fault_peer_link(self, hold):
+        some = self.random.sample(self.daemons, self.random.randint(1, 3))
+        self.disturb(some, self.now() + hold)
+        what = self.random.choice(["delay", "reset", "to", "from", "both"])
+        proxies = [proxy for it in some for proxy in it.peer_proxies]
+        for it in proxies:
+            if what == "delay":
+                it.delay = 0.05
+            elif what == "reset":
+                it.reset_all()
+            else:
+                it.cut = {"to", "from"} if what == "both" else {what}
+        await asyncio.sleep(hold)
+        for it in proxies:
+            it.delay, it.cut = 0.0, set()
+            it.reset_all()
+
+    async def fault_clock(self, hold):
+        some = self.random.sample(self.daemons, 3)
+        jump = self.random.choice([-3600, -3, 3, 3600])
+        for it in some:
+            it.set_clock(jump)
+        await asyncio.sleep(hold)
+        for it in some:
+            it.set_clock(0)
+
+    async def fault_log_stands(self, hold):
+        """Nobody reads the logs of some daemons: nothing else may come of it."""
+        some = self.random.sample(self.daemons, 3)
+        for it in some:
+            it.log_read.clear()
+        await asyncio.sleep(hold * 2)
+        for it in some:
+            it.log_read.set()
+
+    async def play_faults(self, until):
+        kinds = [self.fault_kill, self.fault_freeze, self.fault_stop, self.fault_hup, self.fault_store,
+                 self.fault_store_cut, self.fault_backend, self.fault_backend, self.fault_backend_link,
+                 self.fault_drain, self.fault_config, self.fault_peer_link, self.fault_clock,
+                 self.fault_log_stands]
+        tasks = []
+        while self.now() < until:
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+            kind = self.random.choice(kinds)
+            hold = self.random.uniform(0.4, 2.0)
+            self.faults.append(f"{self.now() - self.began:.1f} {kind.__name__[6:]} {hold:.1f}")
+            tasks.append(asyncio.create_task(kind(hold)))
+        await asyncio.gather(*tasks)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -71,9 +71,14 @@
         self.mode = "well"
         self.lose_writes = 0.0
         self.delay = 0.0
+        # Addresses that instances write of themselves, and the proxies before them.
+        self.stand_ins = {}
 
     def put(self, kind, name, spec):
         self.revision += 1
+        if kind == "hibiscuspick-instances":
+            spec = {key: self.stand_ins.get(it, it) if isinstance(it, str) else it
+                    for key, it in spec.items()}
         item = {"meta": {"Name": name, "Revision": self.revision}, "spec": spec}
         self.objects[kind, name] = item
         self.log.append((self.revision, kind, {"Object": item, "Tombstone": False}))
@@ -197,7 +202,7 @@
 
 
 class Proxy(Server):
-    """Between one daemon and the store, or in front of one backend server."""
+    """Between one daemon and the store, or in front of a backend server or a daemon."""
 
     def __init__(self, port):
         super().__init__()
