One stall is no lag; no refusal without a queue; lines of logs are bounded

Each asker took the hop's 1.4 s into its lag, took 420 ms off every next query's time, and the sender, told that no time was left, refused it as crowded although nothing waited. The lag fell by 3 % a query. Third: a reader of logs that stands still held up the writing thread and with it the end of the process; lines wait 50 ms, then they are counted and left out. Lines of requests have a budget for each kind, and name what lacked.

--- a/packages/base/src/log.cc
+++ b/packages/base/src/log.cc
@@ -3,12 +3,13 @@
 #include <spdlog/async.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/null_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <array>
 #include <string_view>
 
 #include "hibiscuspick/base/json.h"
+#include "hibiscuspick/base/log_sink.h"
 
 namespace hibiscuspick {
 namespace {
@@ -80,19 +81,15 @@
 void StartLogs(LogFormat format, const std::string& level,
                const std::string& instance, LogStream stream) {
   spdlog::init_thread_pool(kQueueLines, 1);
-  spdlog::sink_ptr sink;
-  if (stream == LogStream::kStandardOutput) {
-    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
-  } else {
-    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-  }
+  const int fd =
+      stream == LogStream::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+  const auto sink = std::make_shared<LineSink>(fd);
   for (size_t i = 0; i < kNames.size(); ++i) {
     auto logger = std::make_shared<spdlog::async_logger>(
         std::string(kNames[i]), sink, spdlog::thread_pool(),
         spdlog::async_overflow_policy::overrun_oldest);
     logger->set_formatter(MakeLogFormatter(format, instance));
     logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::warn);
     AllLoggers()[i] = std::move(logger);
   }
 }
--- a/packages/edge/include/hibiscuspick/edge/http_session.h
+++ b/packages/edge/include/hibiscuspick/edge/http_session.h
@@ -81,6 +81,8 @@
 
   // Errors: kInvalidValue if the address can't be listened on.
   Result<Done> Listen(const Address& address);
+  // Nobody can connect any more; what is open stays.
+  void StopAccepting();
   void CloseIdle();
   size_t busy() const;
 
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -87,6 +87,13 @@
   // Shards that were kept back and never asked.
   size_t kept_back = 0;
   bool ran = false;
+  // Its parts waited behind those of queries that could still be on time.
+  bool behind = false;
+  // After the time at which an answer is worth most.
+  bool late = false;
+  // The first services that lack, each with the server that was asked last.
+  // Only of queries that are late or failed.
+  std::string lacking;
   Millis took;
 };
 
@@ -186,6 +193,7 @@
   void Fail(QueryFault fault);
   Millis BackAfterNoServer() const;
   void Finish(HttpReply reply, QueryFault fault);
+  std::string LackingText() const;
   void StopParts(bool caller_left);
   bool MayHaveRun() const;
   size_t FailedParts() const;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -19,6 +19,7 @@
 #include "hibiscuspick/edge/peer_sender.h"
 #include "hibiscuspick/edge/query_metrics.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/edge/request_log.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/route_pace.h"
 #include "hibiscuspick/engine/traffic_config.h"
@@ -95,8 +96,6 @@
   engine::RoutePace* PaceOf(const engine::Route& route);
   void Refuse(HttpSession* session, const HttpRequest& request, int status,
               std::string_view why);
-  void LogOutcome(const std::string& request_id, const RouteId& route,
-                  uint64_t version, const QueryOutcome& outcome);
   void StopStep(const std::function<void()>& done);
 
   Loop* const loop_;
@@ -119,6 +118,7 @@
   bool useless_ = false;
   Millis stop_began_;
   EarlyRequests early_;
+  RequestLog request_log_;
   std::map<RouteId, std::unique_ptr<engine::RoutePace>> paces_;
   std::map<RouteId, engine::SplitState> splits_;
   std::unordered_set<std::shared_ptr<QueryRun>> running_;
--- a/packages/edge/src/http_session.cc
+++ b/packages/edge/src/http_session.cc
@@ -188,6 +188,11 @@
       });
 }
 
+void HttpListener::StopAccepting() {
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+}
+
 void HttpListener::CloseIdle() {
   const std::vector<std::shared_ptr<HttpSession>> all(sessions_.begin(),
                                                       sessions_.end());
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -12,6 +12,9 @@
 
 constexpr double kSecond = 1000;
 
+// An answer that the clock gave comes this much later at most.
+constexpr Millis kClockSlack{5};
+
 // A data centre that is cut off serves nobody until the balancer has sent its
 // callers elsewhere, which takes two of its health checks, each second one.
 // Callers that came back after 50 ms were refused again and were lost.
@@ -121,6 +124,22 @@
   Finish(OwnReply(status, fault), fault);
 }
 
+std::string QueryRun::LackingText() const {
+  constexpr size_t kMostNamed = 3;
+  std::string text;
+  size_t named = 0;
+  for (const auto& it : parts_) {
+    if (it.in || named == kMostNamed) continue;
+    ++named;
+    if (!text.empty()) text += " ";
+    text += it.service.text;
+    if (!it.ran_on.empty()) text += "@" + it.ran_on.back().text;
+    if (it.waiting) text += "(waits)";
+    if (it.failed) text += "(failed)";
+  }
+  return text;
+}
+
 void QueryRun::Finish(HttpReply reply, QueryFault fault) {
   QueryOutcome outcome;
   const auto progress = Progress();
@@ -133,6 +152,11 @@
       parts_.begin(), parts_.end(), [](auto& it) { return it.deferred; }));
   outcome.ran = MayHaveRun();
   outcome.took = context_->loop->now() - began_;
+  outcome.behind = behind_;
+  outcome.late = context_->loop->now() > clocks_.answer_at + kClockSlack;
+  if (outcome.late || fault != QueryFault::kNone) {
+    outcome.lacking = LackingText();
+  }
   StopParts(false);
   if (const auto on_done = std::exchange(on_done_, nullptr)) on_done(outcome);
   if (by_clock_) {
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -200,7 +200,7 @@
 void TrafficServer::Refuse(HttpSession* session, const HttpRequest& request,
                            int status, std::string_view why) {
   const auto id = FindHeader(request.headers, settings_.names.request_id);
-  Log(Part::kFront).info("request {}: {} {}", id, status, why);
+  request_log_.Refused(id, status, why, loop_->now());
   metrics_.CountRefused();
   HttpReply reply;
   reply.status = status;
@@ -343,7 +343,8 @@
       services,
       [this, session, weak, id, route_id = route.id, version = config_->version,
        is_handed = handed.has_value()](const QueryOutcome& outcome) {
-        LogOutcome(id, route_id, version, outcome);
+        metrics_.Count(outcome);
+        request_log_.Ended(id, route_id, version, outcome, loop_->now());
         if (is_handed) {
           HttpReply answer = outcome.reply;
           if (outcome.fault == QueryFault::kNoServer && !outcome.ran) {
@@ -359,23 +360,6 @@
       });
 }
 
-void TrafficServer::LogOutcome(const std::string& request_id,
-                               const RouteId& route, uint64_t version,
-                               const QueryOutcome& outcome) {
-  metrics_.Count(outcome);
-  const auto level = outcome.fault == QueryFault::kNone ? spdlog::level::debug
-                                                        : spdlog::level::info;
-  if (!Log(Part::kRoute).should_log(level)) return;
-  Log(Part::kRoute)
-      .log(level,
-           "request {} route {} config {}: {} {} after {:.1f} ms, {} of {} "
-           "shards, {} kept back, {} extra, ran {}",
-           request_id, route.text, version, outcome.reply.status,
-           FaultName(outcome.fault), outcome.took.count, outcome.shards_in,
-           outcome.shards, outcome.kept_back, outcome.extras,
-           outcome.ran ? "maybe" : "no");
-}
-
 void TrafficServer::Stop(const std::function<void()>& done) {
   if (stopping_) return;
   stopping_ = true;
@@ -393,7 +377,11 @@
   }
   const bool quiet =
       age >= settings_.stop_refuse && running_.empty() && callers_.busy() == 0;
-  if (quiet) callers_.CloseIdle();
+  if (quiet) {
+    // Connections taken until the very end would break off unanswered with it.
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
   // A moment longer, so that the last answers are read before the end.
   constexpr Millis kLastReads{400};
   if (age >= settings_.stop_end ||
--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -43,8 +43,8 @@
  public:
   explicit RawClient(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
     const sockaddr_in address = Loopback(port);
-    (void)connect(fd_, reinterpret_cast<const sockaddr*>(&address),
-                  sizeof(address));
+    connected_ = connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)) == 0;
   }
   ~RawClient() { Close(); }
   RawClient(const RawClient&) = delete;
@@ -54,6 +54,7 @@
     if (fd_ >= 0) close(fd_);
     fd_ = -1;
   }
+  bool WasConnected() const { return connected_; }
   void Say(const std::string& text) {
     (void)send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
   }
@@ -75,6 +76,7 @@
 
  private:
   int fd_;
+  bool connected_ = false;
 };
 
 // What a scripted server does with one request.
--- a/packages/edge/tests/traffic_test.cc
+++ b/packages/edge/tests/traffic_test.cc
@@ -330,5 +330,18 @@
   BOOST_TEST(IsStatus(client.Hear(), 504));
 }
 
+// A caller connects while the instance is about to end. Taken and then broken
+// off, it would not know whether its request has run; turned away, it does.
+BOOST_AUTO_TEST_CASE(NobodyIsTakenInTheLastMoment) {
+  TrafficFixture fixture;
+  AddPlain(&fixture, engine::Repeat::kOnce);
+  fixture.AddServer("s", Answers("stamp-1", "x"));
+  fixture.Publish();
+  std::atomic<bool> done{false};
+  fixture.OnLoop([&] { fixture.server().Stop([&] { done = true; }); });
+  BOOST_TEST_REQUIRE(Eventually([&] { return done.load(); }));
+  BOOST_TEST(!RawClient(fixture.port()).WasConnected());
+}
+
 }  // namespace
 }  // namespace hibiscuspick::edge
--- a/packages/engine/src/fan_out.cc
+++ b/packages/engine/src/fan_out.cc
@@ -6,7 +6,8 @@
 namespace {
 
 // A query is late because of queues if the wait alone takes this share of its
-// time; below it the servers are slow, and refusing makes them no faster.
+// time, and more than the service itself; else the servers are slow or the
+// caller came late, and refusing makes neither better.
 constexpr double kWaitShare = 0.5;
 
 // A query counts as expected in time if it is by this share of it: what waits
@@ -51,9 +52,9 @@
   std::nth_element(reachable.begin(), last, reachable.end(),
                    [](auto& a, auto& b) { return Total(a) < Total(b); });
   const bool hopeless = Total(*last) > times.to_end;
-  const bool crowded = !times.returning &&
-                       Total(*last) > times.to_target * kSureShare &&
-                       last->wait > times.to_target * kWaitShare;
+  const bool crowded =
+      !times.returning && Total(*last) > times.to_target * kSureShare &&
+      last->wait > times.to_target * kWaitShare && last->wait > last->service;
   admission.admitted = !hopeless && !crowded;
   admission.behind = Total(*last) > times.to_target * kSureShare;
   admission.retry_after =
--- a/packages/engine/tests/fan_out_test.cc
+++ b/packages/engine/tests/fan_out_test.cc
@@ -151,6 +151,15 @@
   BOOST_TEST(NeedsRetry(1, 0, 1));
 }
 
+// The query's time was spent before it came here, on a hop to a peer that had
+// stood still. No queue stands in its way: refused, its caller gets nothing
+// where a late answer was to be had at once.
+BOOST_AUTO_TEST_CASE(NobodyIsRefusedForAQueueThatIsNotThere) {
+  const auto admission =
+      Admit(Even(Millis(30)), kNeeded, {Millis(-300), Millis(1400), false});
+  BOOST_TEST(admission.admitted);
+}
+
 // What the caller is told must be when the queue has drained, not a constant.
 BOOST_AUTO_TEST_CASE(RetryAfterFollowsTheQueue) {
   auto outlooks = Even(Millis(30));
--- a/packages/engine/tests/lag_meter_test.cc
+++ b/packages/engine/tests/lag_meter_test.cc
@@ -30,5 +30,14 @@
   BOOST_TEST(meter.high.count < 5);
 }
 
+// The peer on the way was stopped for a second and a half and goes on. Its
+// callers must not be told for the next half minute that there is no time.
+BOOST_AUTO_TEST_CASE(OneStallIsNoLag) {
+  LagMeter meter;
+  for (int i = 0; i < 100; ++i) AddLag(&meter, Millis(2));
+  AddLag(&meter, Millis(1500));
+  BOOST_TEST(meter.high.count < 8);
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
