--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -119,6 +119,7 @@
   void TakeExtra(const ServiceId& service);
   void CountRequest(const ServiceId& service);
   const BackendsPolicy& policy() const { return policy_; }
+  size_t open_attempts() const { return attempts_.size(); }
   // What a part due at that instant would meet at the service; nothing if none
   // of its servers can be reached.
   std::optional<engine::ShardOutlook> Outlook(const ServiceId& service,
--- a/packages/edge/include/hibiscuspick/edge/http_session.h
+++ b/packages/edge/include/hibiscuspick/edge/http_session.h
@@ -83,11 +83,13 @@
   Result<Done> Listen(const Address& address);
   // Nobody can connect any more; what is open stays.
   void StopAccepting();
+  bool IsAccepting() const { return acceptor_.is_open(); }
   void CloseIdle();
   size_t busy() const;
 
  private:
   void Accept();
+  void Begin(boost::asio::ip::tcp::socket socket);
 
   Loop* const loop_;
   const SessionPolicy policy_;
--- a/packages/edge/include/hibiscuspick/edge/query_metrics.h
+++ b/packages/edge/include/hibiscuspick/edge/query_metrics.h
@@ -18,6 +18,9 @@
   void CountHandedOver() { handed_over_->Add(); }
   // A request that was refused before it became a query.
   void CountRefused() { refused_->Add(); }
+  // How much later than due a timer of the loop ran.
+  void ObserveDelay(Millis it) { delay_->Observe(it); }
+  metrics::Registry* registry() { return &registry_; }
   std::string Text() const { return registry_.PrometheusText(); }
 
  private:
@@ -30,6 +33,7 @@
   metrics::Counter* handed_over_;
   metrics::Counter* refused_;
   metrics::Latency* took_;
+  metrics::Latency* delay_;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -13,6 +13,7 @@
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/wire_names.h"
+#include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/gather.h"
 #include "hibiscuspick/engine/lag_meter.h"
 #include "hibiscuspick/engine/peers.h"
@@ -91,8 +92,9 @@
   bool behind = false;
   // After the time at which an answer is worth most.
   bool late = false;
-  // The first services that lack, each with the server that was asked last.
-  // Only of queries that are late or failed.
+  // Of queries that are late or failed: the first services that lack, each with
+  // the server that was asked last; of those refused for overload, the times
+  // that decided it.
   std::string lacking;
   Millis took;
 };
@@ -194,6 +196,7 @@
   Millis BackAfterNoServer() const;
   void Finish(HttpReply reply, QueryFault fault);
   std::string LackingText() const;
+  std::string RefusalText() const;
   void StopParts(bool caller_left);
   bool MayHaveRun() const;
   size_t FailedParts() const;
@@ -227,6 +230,8 @@
   // The answer clock is what the query is looked at for.
   bool by_clock_ = false;
   Millis retry_after_{50};
+  // What a refusal for overload rests on.
+  engine::ShardOutlook refused_by_;
   bool done_ = false;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -56,6 +57,9 @@
 
   Result<Done> Listen();
 
+  // Where others of the process count too.
+  metrics::Registry* registry() { return metrics_.registry(); }
+
   // The view in force from now on; from the loop's thread. A configuration
   // with a lower version than the one held is passed over.
   void SetConfig(std::shared_ptr<const engine::TrafficConfig> config);
@@ -96,6 +100,9 @@
   engine::RoutePace* PaceOf(const engine::Route& route);
   void Refuse(HttpSession* session, const HttpRequest& request, int status,
               std::string_view why);
+  void MeasureDelay();
+  void AddGauges();
+  void AnswerWhatIsLeft();
   void StopStep(const std::function<void()>& done);
 
   Loop* const loop_;
@@ -122,6 +129,13 @@
   std::map<RouteId, std::unique_ptr<engine::RoutePace>> paces_;
   std::map<RouteId, engine::SplitState> splits_;
   std::unordered_set<std::shared_ptr<QueryRun>> running_;
+  // Queries that a peer has.
+  struct HandedOut {
+    std::shared_ptr<HttpSession> session;
+    HttpRequest request;
+    std::function<void()> give_up;
+  };
+  std::unordered_map<HttpSession*, HandedOut> handed_out_;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/http_session.cc
+++ b/packages/edge/src/http_session.cc
@@ -175,21 +175,35 @@
           loop_->At(loop_->now() + kAcceptPause, [this] { Accept(); });
           return;
         }
-        // The session is named weakly in its own end, or it would keep itself.
-        auto holder = std::make_shared<std::weak_ptr<HttpSession>>();
-        auto session = std::make_shared<HttpSession>(
-            loop_, std::move(socket), &policy_, [this, holder] {
-              if (const auto it = holder->lock()) sessions_.erase(it);
-            });
-        *holder = session;
-        sessions_.insert(session);
-        session->Start();
+        Begin(std::move(socket));
         Accept();
       });
 }
 
+void HttpListener::Begin(tcp::socket socket) {
+  // The session is named weakly in its own end, or it would keep itself.
+  auto holder = std::make_shared<std::weak_ptr<HttpSession>>();
+  auto session = std::make_shared<HttpSession>(
+      loop_, std::move(socket), &policy_, [this, holder] {
+        if (const auto it = holder->lock()) sessions_.erase(it);
+      });
+  *holder = session;
+  sessions_.insert(session);
+  session->Start();
+}
+
+// Those who have connected already are taken first: closing the door on them
+// would break off what they have sent.
 void HttpListener::StopAccepting() {
+  if (!acceptor_.is_open()) return;
   boost::system::error_code ec;
+  acceptor_.cancel(ec);
+  acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(loop_->io());
+    acceptor_.accept(socket, ec);
+    if (!ec) Begin(std::move(socket));
+  }
   acceptor_.close(ec);
 }
 
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -124,6 +124,13 @@
   Finish(OwnReply(status, fault), fault);
 }
 
+std::string QueryRun::RefusalText() const {
+  return fmt::format(
+      "room: queue {:.0f} ms, service {:.0f} ms, target in {:.0f} ms",
+      refused_by_.wait.count, refused_by_.service.count,
+      (clocks_.answer_at - began_).count);
+}
+
 std::string QueryRun::LackingText() const {
   constexpr size_t kMostNamed = 3;
   std::string text;
@@ -133,7 +140,10 @@
     ++named;
     if (!text.empty()) text += " ";
     text += it.service.text;
-    if (!it.ran_on.empty()) text += "@" + it.ran_on.back().text;
+    if (!it.ran_on.empty()) {
+      const auto& last = it.ran_on.back().text;
+      text += "@" + (last.empty() ? "a-peer" : last);
+    }
     if (it.waiting) text += "(waits)";
     if (it.failed) text += "(failed)";
   }
@@ -155,7 +165,8 @@
   outcome.behind = behind_;
   outcome.late = context_->loop->now() > clocks_.answer_at + kClockSlack;
   if (outcome.late || fault != QueryFault::kNone) {
-    outcome.lacking = LackingText();
+    outcome.lacking =
+        fault == QueryFault::kOverloaded ? RefusalText() : LackingText();
   }
   StopParts(false);
   if (const auto on_done = std::exchange(on_done_, nullptr)) on_done(outcome);
--- a/packages/edge/src/query_metrics.cc
+++ b/packages/edge/src/query_metrics.cc
@@ -26,6 +26,8 @@
       "Requests without a route, or before or after the time of service");
   took_ = &registry_.GetLatency("hibiscuspick_edge_query_seconds",
                                 "From a request's arrival to its answer");
+  delay_ = &registry_.GetLatency("hibiscuspick_edge_loop_delay_seconds",
+                                 "How late a timer of the traffic loop ran");
 }
 
 void QueryMetrics::Count(const QueryOutcome& outcome) {
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -116,6 +116,7 @@
       outlooks, needed, {to_target, clocks_.end_at - began_, returning_});
   if (!admission.admitted && places_.empty()) {
     retry_after_ = admission.retry_after;
+    refused_by_ = admission.decisive;
     Fail(QueryFault::kOverloaded);
     return false;
   }
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -13,6 +13,10 @@
 
 constexpr Millis kStopCheck{50};
 
+// How often the loop's lateness is looked at; a wake-up costs some
+// microseconds.
+constexpr Millis kDelayInterval{500};
+
 // A peer answers by its end; later it is lost.
 constexpr Millis kHandedSlack{100};
 
@@ -121,6 +125,8 @@
 
 Result<Done> TrafficServer::Listen() {
   early_.Begin();
+  MeasureDelay();
+  AddGauges();
   auto listened = callers_.Listen(settings_.callers);
   if (!IsOk(listened)) return listened;
   if (settings_.queries.port != 0) {
@@ -130,6 +136,31 @@
   return readiness_.Listen(settings_.readiness);
 }
 
+void TrafficServer::MeasureDelay() {
+  const Millis due = SteadyNow() + kDelayInterval;
+  loop_->At(due, [this, due] {
+    metrics_.ObserveDelay(SteadyNow() - due);
+    MeasureDelay();
+  });
+}
+
+void TrafficServer::AddGauges() {
+  auto* registry = metrics_.registry();
+  registry->AddGauge(
+      "hibiscuspick_edge_config_version",
+      "The configuration in force, 0 for none", {},
+      [this] { return config_ ? static_cast<double>(config_->version) : 0; });
+  registry->AddGauge("hibiscuspick_edge_ready",
+                     "1 if the balancer is told to send callers", {},
+                     [this] { return IsReady() ? 1 : 0; });
+  registry->AddGauge("hibiscuspick_edge_queries_running",
+                     "Queries without an answer yet", {},
+                     [this] { return static_cast<double>(running_.size()); });
+  registry->AddGauge(
+      "hibiscuspick_edge_attempts_open", "Attempts at servers without a reply",
+      {}, [this] { return static_cast<double>(backends_.open_attempts()); });
+}
+
 void TrafficServer::SetConfig(
     std::shared_ptr<const engine::TrafficConfig> config) {
   if (config_ && config->version < config_->version) {
@@ -279,15 +310,23 @@
   sent.headers = EndToEnd(request.headers);
   sent.body = request.body;
   AddHanded(query, &sent.headers);
-  const auto give_up =
+  // Noted before it is sent, since its end may come at once.
+  handed_out_[session.get()] = {session, request, {}};
+  session->set_on_gone([this, gone = session.get()] {
+    auto node = handed_out_.extract(gone);
+    if (!node.empty() && node.mapped().give_up) node.mapped().give_up();
+  });
+  auto give_up =
       peers_.Send(*peer, ToText(sent), request.method == "HEAD",
                   {query.clocks.answer_in, query.clocks.end_in + kHandedSlack},
                   [this, session, request, lag, sent_at = loop_->now()](
                       HandedEnd end, const HttpReply& reply) {
                     NoteHop(reply, sent_at, lag);
+                    handed_out_.erase(session.get());
                     OnPeerAnswer(session, request, end, reply);
                   });
-  session->set_on_gone(give_up);
+  const auto held = handed_out_.find(session.get());
+  if (held != handed_out_.end()) held->second.give_up = std::move(give_up);
   metrics_.CountHandedOver();
   return true;
 }
@@ -369,17 +408,27 @@
   StopStep(done);
 }
 
+// Queries in hand, and those that a peer has: one that stands still would keep
+// them beyond the end of this process, and their callers got no answer at all.
+void TrafficServer::AnswerWhatIsLeft() {
+  const auto left = running_;
+  for (const auto& it : left) it->GiveUp();
+  for (auto& [session, it] : std::exchange(handed_out_, {})) {
+    if (it.give_up) it.give_up();
+    Refuse(it.session.get(), it.request, 502, "peer_lost");
+  }
+}
+
 void TrafficServer::StopStep(const std::function<void()>& done) {
   const Millis age = loop_->now() - stop_began_;
-  if (age >= settings_.stop_answer) {
-    const auto left = running_;
-    for (const auto& it : left) it->GiveUp();
-  }
+  if (age >= settings_.stop_answer) AnswerWhatIsLeft();
   const bool quiet =
       age >= settings_.stop_refuse && running_.empty() && callers_.busy() == 0;
-  if (quiet) {
+  if (quiet && callers_.IsAccepting()) {
     // Connections taken until the very end would break off unanswered with it.
+    // What they send is read until the next look.
     callers_.StopAccepting();
+  } else if (quiet) {
     callers_.CloseIdle();
   }
   // A moment longer, so that the last answers are read before the end.
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -193,6 +193,24 @@
   BOOST_TEST(frozen.requests().size() == 1);
 }
 
+// An instance stops while a peer that stands still has its caller's query. The
+// caller must get an answer before the instance ends, and not a broken
+// connection.
+BOOST_AUTO_TEST_CASE(StopAnswersWhatAPeerHas) {
+  TwoPlaces places;
+  RawServer frozen([](auto&) { return Scripted{.text = "", .silent = true}; });
+  engine::Peer sender = places.there.peer();
+  sender.queries.port = frozen.port();
+  places.Introduce({sender}, {});
+  RawClient client(places.here.port());
+  client.Say(TrafficFixture::RequestText("GET /g/x"));
+  BOOST_TEST_REQUIRE(Eventually([&] { return frozen.requests().size() == 1; }));
+  std::atomic<bool> done{false};
+  places.here.OnLoop([&] { places.here.server().Stop([&] { done = true; }); });
+  BOOST_TEST(client.Hear("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(Eventually([&] { return done.load(); }));
+}
+
 // What a stranger says on the port for peers must not reach a server without
 // the version and clocks that peers give, nor name shards that aren't there.
 BOOST_AUTO_TEST_CASE(StrangersAreRefused) {
--- a/packages/engine/include/hibiscuspick/engine/fan_out.h
+++ b/packages/engine/include/hibiscuspick/engine/fan_out.h
@@ -48,6 +48,8 @@
   bool behind = false;
   // When the queues that stand in the way will have drained.
   Millis retry_after;
+  // Of the shard that completes the least share: what decided it.
+  ShardOutlook decisive;
 };
 
 // The time that a new query has, and whether its caller was refused before.
--- a/packages/engine/src/fan_out.cc
+++ b/packages/engine/src/fan_out.cc
@@ -55,6 +55,7 @@
   const bool crowded =
       !times.returning && Total(*last) > times.to_target * kSureShare &&
       last->wait > times.to_target * kWaitShare && last->wait > last->service;
+  admission.decisive = *last;
   admission.admitted = !hopeless && !crowded;
   admission.behind = Total(*last) > times.to_target * kSureShare;
   admission.retry_after =
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -48,13 +48,13 @@
         self.log_read = asyncio.Event()
         self.log_read.set()
 
-    async def start(self, index, instances):
+    async def start(self, index, instances, place=None):
         for it in [self.store_proxy] + self.peer_proxies:
             await it.listen()
             if it is not self.store_proxy:
                 self.world.store.stand_ins[f"127.0.0.1:{it.target}"] = f"127.0.0.1:{it.port}"
         settings = {
-            "instance": self.name, "data_centre": "a" if index % 2 else "b",
+            "instance": self.name, "data_centre": place or ("a" if index % 2 else "b"),
             "edge": {
                 "callers": f"127.0.0.1:{self.callers}", "readiness": f"127.0.0.1:{self.ready}",
                 "store": f"127.0.0.1:{self.store_proxy.port}",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -219,8 +219,12 @@
         finally:
             far_writer.close()
 
+    def passed(self, way, data):
+        """Told of all that passes."""
+
     async def _pump(self, reader, writer, way):
         while data := await reader.read(65536):
+            self.passed(way, data)
             if self.delay:
                 await asyncio.sleep(self.delay)
             while way in self.cut:
