The sender tells its data centre that it is cut off

Change: a sender that is cut off says so where it hands a query back; who hears it is not ready until a server elsewhere is heard, for 4 s at most. Ruled out: believing any handed-back query (a shard that is down hands back too). Test: peers_traffic_test SendersTellThatTheDataCentreIsCutOff.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -133,6 +133,12 @@
   // Whether every try at the servers of other data centres has failed for a
   // while: the instance's data centre is cut off.
   bool IsCutOff() const;
+  // The sender of this data centre says that it is cut off. Believed until a
+  // server elsewhere is heard, or for kToldCutOff: an instance that hands its
+  // queries over finds out for itself only after many of its callers have been
+  // refused.
+  void NoteToldCutOff() { told_cut_off_until_ = loop_->now() + kToldCutOff; }
+  bool IsToldCutOff() const { return loop_->now() < told_cut_off_until_; }
 
   // A server said that its address is now another's.
   void NoteForeign(const BackendServerId& id);
@@ -166,8 +172,11 @@
   void Pump(ServiceState* state);
   void DemoteLate(ServiceState* state);
 
+  static constexpr Millis kToldCutOff{4000};
+
   Loop* const loop_;
   const BackendsPolicy policy_;
+  Millis told_cut_off_until_{-1};
   std::unordered_map<BackendServerId, std::shared_ptr<Server>> servers_;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> services_;
   std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -50,6 +50,8 @@
 // from the peer's refusals alone it would go on taking callers that the
 // balancer could send elsewhere.
 inline constexpr int kOutOfReach = 424;
+// In that answer: the peer's data centre is cut off from the others.
+inline constexpr std::string_view kCutOffHeader = "Hp-Cut-Off";
 
 class PeerSender {
  public:
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -123,6 +123,7 @@
 }
 
 bool Backends::IsCutOff() const {
+  if (IsToldCutOff()) return true;
   return remote_failures_ >= kCutOffFailures &&
          loop_->now() - remote_heard_ >= kCutOffSilence;
 }
@@ -134,6 +135,7 @@
   }
   remote_heard_ = loop_->now();
   remote_failures_ = 0;
+  told_cut_off_until_ = Millis(-1);
 }
 
 void Backends::NoteUnheard(const Server& server) {
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -108,6 +108,7 @@
 
 bool TrafficServer::IsUseless() {
   if (!config_ || !backends_.IsCutOff()) return false;
+  if (backends_.IsToldCutOff()) return true;
   for (const auto& route : config_->routes) {
     if (!route.gather || !paces_.contains(route.id)) continue;
     const auto& shards = route.gather->shards;
@@ -316,15 +317,18 @@
     auto node = handed_out_.extract(gone);
     if (!node.empty() && node.mapped().give_up) node.mapped().give_up();
   });
-  auto give_up =
-      peers_.Send(*peer, ToText(sent), request.method == "HEAD",
-                  {query.clocks.answer_in, query.clocks.end_in + kHandedSlack},
-                  [this, session, request, lag, sent_at = loop_->now()](
-                      HandedEnd end, const HttpReply& reply) {
-                    NoteHop(reply, sent_at, lag);
-                    handed_out_.erase(session.get());
-                    OnPeerAnswer(session, request, end, reply);
-                  });
+  auto give_up = peers_.Send(
+      *peer, ToText(sent), request.method == "HEAD",
+      {query.clocks.answer_in, query.clocks.end_in + kHandedSlack},
+      [this, session, request, lag, away, sent_at = loop_->now()](
+          HandedEnd end, const HttpReply& reply) {
+        NoteHop(reply, sent_at, lag);
+        handed_out_.erase(session.get());
+        if (!away && !FindHeader(reply.headers, kCutOffHeader).empty()) {
+          backends_.NoteToldCutOff();
+        }
+        OnPeerAnswer(session, request, end, reply);
+      });
   const auto held = handed_out_.find(session.get());
   if (held != handed_out_.end()) held->second.give_up = std::move(give_up);
   metrics_.CountHandedOver();
@@ -388,6 +392,9 @@
           HttpReply answer = outcome.reply;
           if (outcome.fault == QueryFault::kNoServer && !outcome.ran) {
             answer.status = kOutOfReach;
+            if (IsUseless()) {
+              answer.headers.push_back({std::string(kCutOffHeader), "1"});
+            }
           }
           answer.headers.push_back({std::string(kTookHeader),
                                     fmt::format("{:.2f}", outcome.took.count)});
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -175,6 +175,29 @@
   BOOST_TEST(places.Arrivals() == 2 * kShards);
 }
 
+// The data centre is cut off. Its sender knows; an instance that hands its
+// queries over has made too few attempts of its own to be sure, and the
+// balancer would go on giving it callers whom it can only refuse.
+BOOST_AUTO_TEST_CASE(SendersTellThatTheDataCentreIsCutOff) {
+  TwoPlaces places;
+  for (auto* fixture : {&places.here, &places.there}) {
+    for (auto& it : fixture->entries()) it.address.port = FreePort();
+    fixture->Publish();
+  }
+  // The sender has tried servers elsewhere in vain for long enough.
+  for (int i = 0; i < 3; ++i) {
+    (void)places.there.Ask("GET /g/x");
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+  BOOST_TEST(places.there.AskReady().starts_with("HTTP/1.1 503 "));
+  engine::Peer sender = places.there.peer();
+  sender.data_centre = places.here.peer().data_centre;
+  places.Introduce({sender}, {});
+  BOOST_TEST(places.here.AskReady().starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(places.here.Ask("GET /g/x").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(places.here.AskReady().starts_with("HTTP/1.1 503 "));
+}
+
 // The sender stands still: it takes queries and says nothing. One query waits
 // for it in vain; those after it are served from here.
 BOOST_AUTO_TEST_CASE(SilentSendersGetNoMoreQueries) {
