Nobody waits behind the others in vain

Whether there was hope was asked of the queue of those in time alone. Change: what isn't expected in time is admitted only if the whole queue lets it end in time; else it is refused at once, unrun. Test: fan_out_test NobodyWaitsBehindInVain.

--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -94,12 +94,16 @@
                (usual.count / cost.count);
   }
   if (!fastest) return std::nullopt;
-  engine::ShardOutlook outlook{Millis(0), *fastest};
+  engine::ShardOutlook outlook{Millis(0), *fastest, Millis(0)};
   if (state.waiting.empty()) return outlook;
-  const auto behind = state.waiting.upper_bound({false, due.count, 0, 0});
-  const auto ahead =
-      static_cast<double>(std::distance(state.waiting.begin(), behind));
-  outlook.wait = usual * (ahead / std::max(at_once, kLeastAtOnce));
+  const double rate = std::max(at_once, kLeastAtOnce);
+  const auto wait_before = [&](const WaitKey& key) {
+    const auto place = state.waiting.upper_bound(key);
+    const auto ahead = std::distance(state.waiting.begin(), place);
+    return usual * (static_cast<double>(ahead) / rate);
+  };
+  outlook.wait = wait_before({false, due.count, 0, 0});
+  outlook.wait_behind = wait_before({true, due.count, 0, 0});
   return outlook;
 }
 
--- a/packages/engine/include/hibiscuspick/engine/fan_out.h
+++ b/packages/engine/include/hibiscuspick/engine/fan_out.h
@@ -16,6 +16,8 @@
   Millis wait;
   // An attempt at its fastest server.
   Millis service;
+  // Behind all parts, for one that isn't expected in time.
+  Millis wait_behind;
 };
 
 inline Millis Total(const ShardOutlook& it) { return it.wait + it.service; }
@@ -60,12 +62,16 @@
 };
 
 // Refuses a query whose least share of shards is not expected in time: by the
-// caller's deadline, since then all its parts would be work for nothing; or by
+// caller's deadline, since then all its parts would be work for nothing, also
+// where it has to wait behind the others; or by
 // the target, if it is queues that make it late. Then each query let in makes
 // the next ones late too, and those who are told at once when to come back are
 // served sooner than by waiting. A caller that did come back is let in.
 //
-// Answers: 15 % more than a shard's servers can do, for some seconds.
+// Answers: 15 % more than a shard's servers can do, for some seconds; and two
+// and a half times as many callers while half of the servers are cut off. Half
+// of them waited two seconds behind the others for nothing then, and most of
+// their parts had run.
 Admission Admit(const std::vector<std::optional<ShardOutlook>>& outlooks,
                 size_t needed, const QueryTimes& times);
 
--- a/packages/engine/src/fan_out.cc
+++ b/packages/engine/src/fan_out.cc
@@ -17,6 +17,19 @@
 // Sooner than this the queue is what it was.
 constexpr Millis kSoonestReturn{50};
 
+Millis TotalBehind(const ShardOutlook& it) {
+  return it.wait_behind + it.service;
+}
+
+// The shard that completes the least share if each takes that time.
+ShardOutlook DecisiveBy(std::vector<ShardOutlook>* shards, size_t needed,
+                        Millis (*time)(const ShardOutlook&)) {
+  const auto last = shards->begin() + static_cast<std::ptrdiff_t>(needed - 1);
+  std::nth_element(shards->begin(), last, shards->end(),
+                   [&](auto& a, auto& b) { return time(a) < time(b); });
+  return *last;
+}
+
 }  // namespace
 
 FanOutPlan PlanFanOut(const std::vector<std::optional<ShardOutlook>>& outlooks,
@@ -48,18 +61,20 @@
   }
   Admission admission;
   if (reachable.size() < needed || needed == 0) return admission;
-  const auto last = reachable.begin() + static_cast<std::ptrdiff_t>(needed - 1);
-  std::nth_element(reachable.begin(), last, reachable.end(),
-                   [](auto& a, auto& b) { return Total(a) < Total(b); });
-  const bool hopeless = Total(*last) > times.to_end;
-  const bool crowded =
-      !times.returning && Total(*last) > times.to_target * kSureShare &&
-      last->wait > times.to_target * kWaitShare && last->wait > last->service;
-  admission.decisive = *last;
-  admission.admitted = !hopeless && !crowded;
-  admission.behind = Total(*last) > times.to_target * kSureShare;
+  const auto last = DecisiveBy(&reachable, needed, Total);
+  admission.decisive = last;
+  admission.behind = Total(last) > times.to_target * kSureShare;
+  const bool crowded = !times.returning && admission.behind &&
+                       last.wait > times.to_target * kWaitShare &&
+                       last.wait > last.service;
+  Millis end = Total(last);
+  if (admission.behind) {
+    const auto worst = DecisiveBy(&reachable, needed, TotalBehind);
+    end = Max(end, TotalBehind(worst));
+  }
+  admission.admitted = end <= times.to_end && !crowded;
   admission.retry_after =
-      Max(kSoonestReturn, Total(*last) - Max(times.to_target, Millis(0)));
+      Max(kSoonestReturn, Total(last) - Max(times.to_target, Millis(0)));
   return admission;
 }
 
--- a/packages/engine/tests/fan_out_test.cc
+++ b/packages/engine/tests/fan_out_test.cc
@@ -16,7 +16,7 @@
 constexpr size_t kNeeded = 18;
 
 Outlooks Even(Millis service) {
-  return Outlooks(kShards, ShardOutlook{Millis(0), service});
+  return Outlooks(kShards, ShardOutlook{Millis(0), service, Millis(0)});
 }
 
 // Two servers of two shards have been lost and the others are overloaded. Asked
@@ -66,20 +66,28 @@
 }
 
 const AdmitRow kAdmits[] = {
-    {"calm", {Millis(0), Millis(30)}, 20, false, true},
+    {"calm", {Millis(0), Millis(30), Millis(0)}, 20, false, true},
     {"two crowded shards are spared",
-     {Millis(900), Millis(30)},
+     {Millis(900), Millis(30), Millis(0)},
      2,
      false,
      true},
-    {"crowded", {Millis(180), Millis(30)}, 3, false, false},
+    {"crowded", {Millis(180), Millis(30), Millis(0)}, 3, false, false},
     {"crowded, but the caller came back",
-     {Millis(180), Millis(30)},
+     {Millis(180), Millis(30), Millis(0)},
      3,
      true,
      true},
-    {"slow without a queue", {Millis(0), Millis(336)}, 3, false, true},
-    {"no hope by the deadline", {Millis(1900), Millis(336)}, 3, true, false},
+    {"slow without a queue",
+     {Millis(0), Millis(336), Millis(0)},
+     3,
+     false,
+     true},
+    {"no hope by the deadline",
+     {Millis(1900), Millis(336), Millis(0)},
+     3,
+     true,
+     false},
 };
 
 // Refusing helps against queues. Where the servers themselves are slow it only
@@ -104,10 +112,10 @@
 }
 
 const BehindRow kBehinds[] = {
-    {"calm", {Millis(0), Millis(30)}, 20, false},
-    {"late, but spared", {Millis(500), Millis(30)}, 2, false},
-    {"late by a queue", {Millis(300), Millis(30)}, 3, true},
-    {"late by its servers", {Millis(0), Millis(336)}, 3, true},
+    {"calm", {Millis(0), Millis(30), Millis(0)}, 20, false},
+    {"late, but spared", {Millis(500), Millis(30), Millis(0)}, 2, false},
+    {"late by a queue", {Millis(300), Millis(30), Millis(0)}, 3, true},
+    {"late by its servers", {Millis(0), Millis(336), Millis(0)}, 3, true},
 };
 
 // Under overload callers that were refused come back with little time left. By
@@ -123,6 +131,23 @@
   BOOST_TEST(admission.behind == row.behind);
 }
 
+// Twice as many callers as the servers can serve. One that comes back would
+// wait behind all others until its time is up, while some of its parts run for
+// nothing; told at once, it is no worse off and the others are better.
+BOOST_AUTO_TEST_CASE(NobodyWaitsBehindInVain) {
+  auto outlooks = Even(Millis(30));
+  for (size_t i = 0; i < 5; ++i) {
+    outlooks[i] = {Millis(180), Millis(30), Millis(500)};
+  }
+  const QueryTimes times{Millis(190), Millis(1990), true};
+  BOOST_TEST(Admit(outlooks, kNeeded, times).admitted);
+  for (size_t i = 0; i < 3; ++i) outlooks[i]->wait_behind = Millis(2000);
+  BOOST_TEST(!Admit(outlooks, kNeeded, times).admitted);
+  // Two such shards are spared.
+  outlooks[0]->wait_behind = Millis(500);
+  BOOST_TEST(Admit(outlooks, kNeeded, times).admitted);
+}
+
 struct NeedRow {
   const char* name;
   size_t failed;
@@ -163,7 +188,8 @@
 // What the caller is told must be when the queue has drained, not a constant.
 BOOST_AUTO_TEST_CASE(RetryAfterFollowsTheQueue) {
   auto outlooks = Even(Millis(30));
-  for (size_t i = 0; i < 3; ++i) outlooks[i] = {Millis(400), Millis(30)};
+  for (size_t i = 0; i < 3; ++i)
+    outlooks[i] = {Millis(400), Millis(30), Millis(0)};
   const auto admission =
       Admit(outlooks, kNeeded, {Millis(190), Millis(1990), false});
   BOOST_TEST(!admission.admitted);
