--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -120,6 +120,7 @@
   void CountRequest(const ServiceId& service);
   const BackendsPolicy& policy() const { return policy_; }
   size_t open_attempts() const { return attempts_.size(); }
+  bool HasServerInReach(const ServiceId& service) const;
   // What a part due at that instant would meet at the service; nothing if none
   // of its servers can be reached.
   std::optional<engine::ShardOutlook> Outlook(const ServiceId& service,
--- a/packages/edge/include/hibiscuspick/edge/early_requests.h
+++ b/packages/edge/include/hibiscuspick/edge/early_requests.h
@@ -31,7 +31,7 @@
   void Begin();
   // True if the request is kept; false if it comes too late for that.
   bool Hold(const std::shared_ptr<HttpSession>& session, HttpRequest* request);
-  // Serves all that are kept.
+  // Serves all that are kept, and keeps no more.
   void Release();
 
  private:
@@ -44,8 +44,7 @@
   Loop* const loop_;
   const std::string deadline_header_;
   const Serve serve_;
-  Millis until_{-1};
-  bool over_ = false;
+  bool holding_ = false;
   std::vector<Held> held_;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -2,7 +2,9 @@
 // written as text.
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -43,6 +45,9 @@
 // The items of a header's value that is a list, without the blanks round them.
 std::vector<std::string_view> SplitList(std::string_view list);
 
+// The whole number that the text is; nothing if it is anything else.
+std::optional<int64_t> WholeNumber(std::string_view text);
+
 // Headers that concern one connection only, and the message's framing: those
 // of the standard, and those that `Connection` names.
 bool IsHopByHop(std::string_view name);
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -87,14 +87,18 @@
   // A query that a peer hands over.
   void OnHanded(const std::shared_ptr<HttpSession>& session,
                 HttpRequest request);
+  // nullptr if no route of the configuration in force is asked for.
+  const engine::Route* RouteOf(const HttpRequest& request) const;
+  // A caller's request that no peer serves; refused without a route.
+  void ServeHere(const std::shared_ptr<HttpSession>& session,
+                 HttpRequest request, const engine::Route* route);
   void Serve(const std::shared_ptr<HttpSession>& session, HttpRequest request,
              const engine::Route& route,
              const std::optional<HandedQuery>& handed);
   bool HandOver(const std::shared_ptr<HttpSession>& session,
                 const HttpRequest& request, const engine::Route& route);
   void OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
-                    const HttpRequest& request, HandedEnd end,
-                    const HttpReply& reply);
+                    HttpRequest request, HandedEnd end, const HttpReply& reply);
   void ShareOut();
   std::vector<ServiceId> ServicesFor(const engine::Route& route);
   engine::RoutePace* PaceOf(const engine::Route& route);
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -17,8 +17,11 @@
 // A service whose servers are all slow still does something.
 constexpr double kLeastAtOnce = 0.2;
 
-// With less than this share of the budget left a failure may stay unpaid.
-constexpr double kThinBudget = 0.4;
+using Place = std::map<WaitKey, Waiting>::const_iterator;
+
+double PartsIn(Place begin, Place end) {
+  return static_cast<double>(std::distance(begin, end));
+}
 
 }  // namespace
 
@@ -76,6 +79,15 @@
   state.slack = slack;
 }
 
+bool Backends::HasServerInReach(const ServiceId& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return false;
+  const auto& servers = found->second->servers;
+  return std::any_of(servers.begin(), servers.end(), [](auto& it) {
+    return engine::IsWithinReach(it->belief);
+  });
+}
+
 std::optional<engine::ShardOutlook> Backends::Outlook(const ServiceId& service,
                                                       Millis usual,
                                                       Millis due) const {
@@ -96,14 +108,12 @@
   if (!fastest) return std::nullopt;
   engine::ShardOutlook outlook{Millis(0), *fastest, Millis(0)};
   if (state.waiting.empty()) return outlook;
-  const double rate = std::max(at_once, kLeastAtOnce);
-  const auto wait_before = [&](const WaitKey& key) {
-    const auto place = state.waiting.upper_bound(key);
-    const auto ahead = std::distance(state.waiting.begin(), place);
-    return usual * (static_cast<double>(ahead) / rate);
-  };
-  outlook.wait = wait_before({false, due.count, 0, 0});
-  outlook.wait_behind = wait_before({true, due.count, 0, 0});
+  const Millis each = usual * (1 / std::max(at_once, kLeastAtOnce));
+  const auto& waiting = state.waiting;
+  const auto in_time = waiting.upper_bound({false, due.count, 0, 0});
+  const auto behind = waiting.upper_bound({true, due.count, 0, 0});
+  outlook.wait = each * PartsIn(waiting.begin(), in_time);
+  outlook.wait_behind = outlook.wait + each * PartsIn(in_time, behind);
   return outlook;
 }
 
@@ -112,7 +122,7 @@
   const Millis now = loop_->now();
   auto choice = policy_.choice;
   choice.most_open = std::min(choice.most_open, state.max_channels);
-  if (!HasExtra(order.budget_of, kThinBudget)) {
+  if (!HasExtra(order.budget_of, engine::kKeptForNeed)) {
     choice.failure_cost = choice.unpaid_failure_cost;
   }
   std::vector<const engine::ServerBelief*> beliefs;
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -1,6 +1,4 @@
 // Which servers can be reached, and whether the data centre is cut off.
-#include <utility>
-#include <vector>
 
 #include "backends_impl.h"
 #include "hibiscuspick/base/log.h"
@@ -53,15 +51,11 @@
 void Backends::LookForSilence() {
   sweep_ =
       loop_->At(loop_->now() + kSweepInterval, [this] { LookForSilence(); });
-  std::vector<std::pair<std::shared_ptr<Server>, Millis>> silent;
   for (const auto& [id, it] : attempts_) {
-    const Millis bound = Max(kSilence, it->order.overdue_after * kOverdueTimes);
     if (!it->was_sent || it->server->belief.unreachable) continue;
-    if (loop_->now() - it->sent < bound) continue;
-    silent.emplace_back(it->server, it->sent);
-  }
-  for (const auto& [server, sent] : silent) {
-    if (!server->belief.unreachable) DoubtSilent(server, sent);
+    const Millis open = loop_->now() - it->sent;
+    if (open < it->order.overdue_after * kOverdueTimes) continue;
+    DoubtSilent(it->server, it->sent);
   }
 }
 
@@ -112,7 +106,7 @@
   if (found == servers_.end()) return;
   Log(Part::kBackend).info("server {}: its address is another's", id.text);
   found->second->belief.draining = true;
-  for (auto& it : std::exchange(found->second->idle, {})) it->Close();
+  Retire(found->second);
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/early_requests.cc
+++ b/packages/edge/src/early_requests.cc
@@ -1,7 +1,6 @@
 #include "hibiscuspick/edge/early_requests.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace hibiscuspick::edge {
@@ -18,11 +17,9 @@
              Millis waited) {
   for (auto& it : *headers) {
     if (!SameName(it.name, name)) continue;
-    int64_t n = 0;
-    const char* end = it.value.data() + it.value.size();
-    const auto read = std::from_chars(it.value.data(), end, n);
-    if (read.ec != std::errc() || read.ptr != end) return;
-    const auto left = n - static_cast<int64_t>(waited.count);
+    const auto said = WholeNumber(it.value);
+    if (!said) return;
+    const auto left = *said - static_cast<int64_t>(waited.count);
     it.value = std::to_string(std::max<int64_t>(left, 1));
   }
 }
@@ -36,15 +33,13 @@
       serve_(std::move(serve)) {}
 
 void EarlyRequests::Begin() {
-  until_ = SteadyNow() + kLongestHold;
-  loop_->At(until_, [this] { Release(); });
+  holding_ = true;
+  loop_->At(SteadyNow() + kLongestHold, [this] { Release(); });
 }
 
 bool EarlyRequests::Hold(const std::shared_ptr<HttpSession>& session,
                          HttpRequest* request) {
-  if (over_ || loop_->now() >= until_ || held_.size() >= kMostHeld) {
-    return false;
-  }
+  if (!holding_ || held_.size() >= kMostHeld) return false;
   session->set_on_gone([this, gone = session.get()] {
     std::erase_if(held_, [gone](auto& it) { return it.session.get() == gone; });
   });
@@ -53,7 +48,7 @@
 }
 
 void EarlyRequests::Release() {
-  over_ = true;
+  holding_ = false;
   for (auto& it : std::exchange(held_, {})) {
     TakeOff(&it.request.headers, deadline_header_, loop_->now() - it.came);
     it.session->set_on_gone(nullptr);
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <charconv>
 #include <utility>
 
 namespace hibiscuspick::edge {
@@ -99,6 +100,14 @@
   return items;
 }
 
+std::optional<int64_t> WholeNumber(std::string_view text) {
+  int64_t n = 0;
+  const char* const end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, n);
+  if (read.ec != std::errc() || read.ptr != end) return std::nullopt;
+  return n;
+}
+
 bool IsHopByHop(std::string_view name) {
   return std::any_of(kHopByHop.begin(), kHopByHop.end(),
                      [&](auto it) { return SameName(it, name); });
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -37,8 +37,7 @@
                               : Extra::kOptional;
   if (TryPart(i, kind)) return;
   auto& backends = *context_->backends;
-  if (!backends.Outlook(part.service, pace_->usual, clocks_.answer_at) ||
-      kind == Extra::kOptional ||
+  if (!backends.HasServerInReach(part.service) || kind == Extra::kOptional ||
       (extra && !backends.HasExtra(budget_of_, 0))) {
     part.failed = true;
     return;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -1,7 +1,6 @@
 #include "hibiscuspick/edge/query_run.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "hibiscuspick/engine/fan_out.h"
@@ -21,21 +20,6 @@
 constexpr double kDeferShare = 0.6;
 constexpr double kNeverDefer = 1e9;
 
-// What attempts that only make an answer more complete leave of the budget to
-// those without which a query fails: where servers lose answers, 187 failed
-// fan-outs in four seconds became 60. In calm it costs nothing that shows
-// (worth 0.888 and 0.889 on a day of the users' bench).
-constexpr double kOptionalReserve = 0.4;
-
-std::optional<double> ParseNumber(std::string_view text) {
-  int64_t n = 0;
-  const auto read = std::from_chars(text.data(), text.data() + text.size(), n);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return static_cast<double>(n);
-}
-
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -69,8 +53,8 @@
   clocks.end_in = route.timeout;
   Millis spent{0};
   const auto header = FindHeader(request.headers, context.names->deadline);
-  if (const auto n = ParseNumber(header); n && *n > 0) {
-    const Millis said(*n);
+  if (const auto n = WholeNumber(header); n && *n > 0) {
+    const Millis said(static_cast<double>(*n));
     spent = engine::SpentBefore(pace, said);
     clocks.returning = spent > kReturningAfter;
     clocks.end_in = Min(clocks.end_in, said - context.end_margin);
@@ -164,7 +148,7 @@
   auto& part = parts_[i];
   auto& backends = *context_->backends;
   const Millis now = context_->loop->now();
-  const double reserve = extra == Extra::kOptional ? kOptionalReserve : 0;
+  const double reserve = extra == Extra::kOptional ? engine::kKeptForNeed : 0;
   const bool is_extra = extra != Extra::kNone;
   if (is_extra && !backends.HasExtra(budget_of_, reserve)) return false;
   AttemptOrder order = OrderFor(i);
@@ -184,7 +168,7 @@
   order.service = parts_[i].service;
   order.budget_of = budget_of_;
   order.usual = pace_->usual;
-  order.overdue_after = pace_->overdue_after;
+  order.overdue_after = pace_->hedge_after;
   order.excluded = parts_[i].ran_on;
   for (const auto& it : parts_[i].open) order.excluded.push_back(it.server);
   order.to_head = request_.method == "HEAD";
--- a/packages/edge/src/traffic_handover.cc
+++ b/packages/edge/src/traffic_handover.cc
@@ -18,8 +18,7 @@
   const engine::Route* route = nullptr;
   if (handed && config_ && has_servers_ &&
       handed->config_version == config_->version) {
-    route = engine::FindRoute(*config_, FindHeader(request.headers, "Host"),
-                              request.target);
+    route = RouteOf(request);
   }
   const bool fits =
       route != nullptr &&
@@ -67,14 +66,16 @@
   auto give_up = peers_.Send(
       *peer, ToText(sent), request.method == "HEAD",
       {query.clocks.answer_in, query.clocks.end_in + kHandedSlack},
-      [this, session, request, lag, away, sent_at = loop_->now()](
+      [this, key = session.get(), lag, away, sent_at = loop_->now()](
           HandedEnd end, const HttpReply& reply) {
         NoteHop(reply, sent_at, lag);
-        handed_out_.erase(session.get());
         if (!away && !FindHeader(reply.headers, kCutOffHeader).empty()) {
           backends_.NoteToldCutOff();
         }
-        OnPeerAnswer(session, request, end, reply);
+        auto out = handed_out_.extract(key);
+        if (out.empty()) return;
+        OnPeerAnswer(out.mapped().session, std::move(out.mapped().request), end,
+                     reply);
       });
   const auto held = handed_out_.find(session.get());
   if (held != handed_out_.end()) held->second.give_up = std::move(give_up);
@@ -83,7 +84,7 @@
 }
 
 void TrafficServer::OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
-                                 const HttpRequest& request, HandedEnd end,
+                                 HttpRequest request, HandedEnd end,
                                  const HttpReply& reply) {
   if (end == HandedEnd::kAnswer) {
     HttpReply answer = reply;
@@ -98,13 +99,8 @@
     Refuse(session.get(), request, 502, "peer_lost");
     return;
   }
-  const auto* route = engine::FindRoute(
-      *config_, FindHeader(request.headers, "Host"), request.target);
-  if (route == nullptr) {
-    Refuse(session.get(), request, 404, "unknown_route");
-    return;
-  }
-  Serve(session, request, *route, std::nullopt);
+  const auto* route = RouteOf(request);
+  ServeHere(session, std::move(request), route);
 }
 
 // Queries in hand, and those that a peer has: one that stands still would keep
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -111,7 +111,7 @@
     const auto& shards = route.gather->shards;
     size_t reachable = 0;
     for (const auto& it : shards) {
-      reachable += backends_.Outlook(it, route.target, loop_->now()) ? 1 : 0;
+      reachable += backends_.HasServerInReach(it) ? 1 : 0;
     }
     if (reachable <
         engine::PartsNeeded(route.gather->least_share, shards.size())) {
@@ -252,13 +252,22 @@
     Refuse(session.get(), request, 503, "leaving");
     return;
   }
-  const auto* route = engine::FindRoute(
-      *config_, FindHeader(request.headers, "Host"), request.target);
+  const auto* route = RouteOf(request);
+  if (route != nullptr && HandOver(session, request, *route)) return;
+  ServeHere(session, std::move(request), route);
+}
+
+const engine::Route* TrafficServer::RouteOf(const HttpRequest& request) const {
+  return engine::FindRoute(*config_, FindHeader(request.headers, "Host"),
+                           request.target);
+}
+
+void TrafficServer::ServeHere(const std::shared_ptr<HttpSession>& session,
+                              HttpRequest request, const engine::Route* route) {
   if (route == nullptr) {
     Refuse(session.get(), request, 404, "unknown_route");
     return;
   }
-  if (HandOver(session, request, *route)) return;
   Serve(session, std::move(request), *route, std::nullopt);
 }
 
--- a/packages/engine/include/hibiscuspick/engine/route_pace.h
+++ b/packages/engine/include/hibiscuspick/engine/route_pace.h
@@ -12,10 +12,9 @@
   limits::LatencySketch sketch;
   uint32_t since_update = 0;
   uint64_t samples = 0;
-  // The median of an attempt; after what time its server's silence is a reason
-  // for suspicion; and when a second attempt is worth its price.
+  // The median of an attempt, and after what time one is late: its server's
+  // silence is a reason for suspicion, and a second attempt is worth its price.
   Millis usual;
-  Millis overdue_after;
   Millis hedge_after;
   // The longest that a caller of this route said it would wait: its own first
   // attempt. What a later one says less is time that the caller has spent.
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -46,6 +46,16 @@
   return {};
 }
 
+// The first in rank of each data centre.
+std::vector<Peer> FirstOfEach(const PeerTable& table, Millis now) {
+  std::vector<Peer> first;
+  for (const auto& it : DataCentres(table)) {
+    const auto ranking = Ranking(table, it, now);
+    if (!ranking.empty()) first.push_back(ranking[0]);
+  }
+  return first;
+}
+
 }  // namespace
 
 void NoteSilent(PeerTable* table, const InstanceId& peer, Millis now) {
@@ -124,31 +134,14 @@
   return there;
 }
 
-namespace {
-
-// The first in rank of each data centre.
-std::vector<Peer> FirstOfEach(const PeerTable& table, Millis now) {
-  std::set<DataCentreId> places;
-  for (const auto& [id, peer] : table.peers) places.insert(peer.data_centre);
-  std::vector<Peer> first;
-  for (const auto& it : places) {
-    const auto ranking = Ranking(table, it, now);
-    if (!ranking.empty()) first.push_back(ranking[0]);
-  }
-  return first;
-}
-
-}  // namespace
-
 std::vector<Peer> FanOutSenders(const PeerTable& table, Millis now) {
-  if (table.peers.empty()) return {};
+  if (table.peers.size() <= kMostDirect) return FirstOfEach(table, now);
   double least = 1e9;
   double most = 0;
   for (const auto& [id, peer] : table.peers) {
     least = std::min(least, peer.processor);
     most = std::max(most, peer.processor);
   }
-  if (table.peers.size() <= kMostDirect) return FirstOfEach(table, now);
   std::vector<Peer> senders;
   if (most < least * kAbler) return senders;
   for (const auto& [id, peer] : table.peers) {
--- a/packages/engine/src/route_pace.cc
+++ b/packages/engine/src/route_pace.cc
@@ -14,8 +14,7 @@
 // attempt a query at 0.95: right for suspecting a server, which costs nothing,
 // and, with a budget of one for five queries, no worse for second attempts than
 // 0.98 (both measured on a day of each site, within 0.01).
-constexpr double kOverdueQuantile = 0.95;
-constexpr double kHedgeQuantile = 0.95;
+constexpr double kLateQuantile = 0.95;
 
 // Bounds as shares of the target: sooner is noise; later leaves no time for the
 // second attempt to help.
@@ -30,7 +29,6 @@
 RoutePace FirstPace(Millis target) {
   RoutePace pace;
   pace.usual = target * kFirstUsual;
-  pace.overdue_after = target * kFirstHedge;
   pace.hedge_after = target * kFirstHedge;
   return pace;
 }
@@ -44,12 +42,9 @@
   if (pace->samples < kFirstSamples) return;
   pace->since_update = 0;
   pace->usual = limits::Quantile(pace->sketch, 0.5);
-  const auto bounded = [&](double quantile) {
-    const Millis late = limits::Quantile(pace->sketch, quantile);
-    return Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
-  };
-  pace->overdue_after = bounded(kOverdueQuantile);
-  pace->hedge_after = bounded(kHedgeQuantile);
+  const Millis late = limits::Quantile(pace->sketch, kLateQuantile);
+  pace->hedge_after =
+      Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
 }
 
 Millis SpentBefore(RoutePace* pace, Millis will_wait) {
--- a/packages/engine/src/server_belief.cc
+++ b/packages/engine/src/server_belief.cc
@@ -44,6 +44,14 @@
   server->failing_at = now;
 }
 
+// What replies have shown of its slowness, with age taken off.
+double SlownessLeft(const ServerBelief& server, const ChoicePolicy& policy,
+                    Millis now) {
+  const double age = (now - server.slowness_at).count;
+  const double left = std::exp2(-age / policy.slowness_half_life.count);
+  return 1 + (server.slowness - 1) * left;
+}
+
 void Forget(ServerBelief* server, AttemptId attempt) {
   std::erase_if(server->open,
                 [&](const OpenAttempt& it) { return it.id == attempt; });
@@ -59,10 +67,8 @@
 
 double SlownessNow(const ServerBelief& server, const ChoicePolicy& policy,
                    Millis now) {
-  const double age = (now - server.slowness_at).count;
-  const double left = std::exp2(-age / policy.slowness_half_life.count);
   const double warmup = now < server.warm_at ? kWarmupFactor : 1;
-  return (1 + (server.slowness - 1) * left) * warmup;
+  return SlownessLeft(server, policy, now) * warmup;
 }
 
 bool IsWithinReach(const ServerBelief& server) {
@@ -140,13 +146,11 @@
   Forget(server, attempt);
   NoteOutcome(server, false, policy, now);
   server->failures_in_row = 0;
-  const double before = 1 + (server->slowness - 1) *
-                                std::exp2(-(now - server->slowness_at).count /
-                                          policy.slowness_half_life.count);
-  AdaptLimit(server, latency.count / std::max(usual.count, 0.1), policy, now);
-  const double factor = std::min(latency.count / std::max(usual.count, 0.1),
-                                 2 * before + kSurprise);
-  server->slowness = before + kReplyWeight * (factor - before);
+  const double factor = latency.count / std::max(usual.count, 0.1);
+  AdaptLimit(server, factor, policy, now);
+  const double before = SlownessLeft(*server, policy, now);
+  const double counted = std::min(factor, 2 * before + kSurprise);
+  server->slowness = before + kReplyWeight * (counted - before);
   server->slowness_at = now;
 }
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,21 @@
             # A calm time after it, as long as news may be on their way.
             it.disturbed.append((self.now() - 0.1, until + (0 if planned else CONFIG_BOUND), planned))
 
+    @staticmethod
+    async def harm(proxies, what, hold):
+        """Delays, resets or cuts links, one way or both, for a while."""
+        for it in proxies:
+            if what == "delay":
+                it.delay = 0.05
+            elif what == "reset":
+                it.reset_all()
+            else:
+                it.cut = {"to", "from"} if what == "both" else {what}
+        await asyncio.sleep(hold)
+        for it in proxies:
+            it.delay, it.cut = 0.0, set()
+            it.reset_all()
+
     async def fault_kill(self, hold):
         some = self.take(self.random.randint(1, 5))
         self.disturb(some, self.now() + hold + 2)
@@ -92,13 +107,8 @@
     async def fault_store_cut(self, hold):
         some = self.random.sample(self.daemons, self.random.randint(1, 4))
         self.disturb(some, self.now() + hold)
-        ways = self.random.choice([{"to"}, {"from"}, {"to", "from"}])
-        for it in some:
-            it.store_proxy.cut = ways
-        await asyncio.sleep(hold)
-        for it in some:
-            it.store_proxy.cut = set()
-            it.store_proxy.reset_all()
+        way = self.random.choice(["to", "from", "both"])
+        await self.harm([it.store_proxy for it in some], way, hold)
 
     async def fault_backend(self, hold):
         some = self.random.sample(self.world.backends, self.random.randint(1, 4))
@@ -115,17 +125,7 @@
         some = [self.world.proxies[it.name]
                 for it in self.random.sample(self.world.backends, self.random.randint(1, 3))]
         what = self.random.choice(["delay", "reset", "to", "from"])
-        for it in some:
-            if what == "delay":
-                it.delay = 0.05
-            elif what == "reset":
-                it.reset_all()
-            else:
-                it.cut = {what}
-        await asyncio.sleep(hold)
-        for it in some:
-            it.delay, it.cut = 0.0, set()
-            it.reset_all()
+        await self.harm(some, what, hold)
 
     async def fault_drain(self, _hold):
         left = [it for it in self.world.backends if it.drained_at is None]
@@ -149,17 +149,7 @@
         self.disturb(some, self.now() + hold)
         what = self.random.choice(["delay", "reset", "to", "from", "both"])
         proxies = [proxy for it in some for proxy in it.peer_proxies]
-        for it in proxies:
-            if what == "delay":
-                it.delay = 0.05
-            elif what == "reset":
-                it.reset_all()
-            else:
-                it.cut = {"to", "from"} if what == "both" else {what}
-        await asyncio.sleep(hold)
-        for it in proxies:
-            it.delay, it.cut = 0.0, set()
-            it.reset_all()
+        await self.harm(proxies, what, hold)
 
     async def fault_clock(self, hold):
         some = self.random.sample(self.daemons, 3)
