Servers that start again, and entries of other writers

Cause: what is believed of a server was kept by its id alone. One that starts again under it was leaving if the earlier had been, stayed in the service it had been in, and answers to the earlier one's requests counted for it; a late write or removal of the earlier one took it out. And one object in the store of another shape, or with bytes that are no text, made its whole list or page of events unreadable: discovery stood still everywhere until it went. Change: an incarnation (id and start, or another service or address under the id) begins clean, results belong to the very server that had the attempt; earlier lives' words change nothing.

--- a/packages/base/include/hibiscuspick/base/json.h
+++ b/packages/base/include/hibiscuspick/base/json.h
@@ -22,6 +22,18 @@
 Result<Json> ParseJson(std::string_view text,
                        JsonComments comments = JsonComments::kRefused);
 
+// The text with every value that can't be read put aside: a text that isn't
+// UTF-8 or has a bad escape, a number that is none or too large, a word that
+// JSON doesn't know, a container nested deeper than half of kMaxJsonDepth each
+// become null, and a key that can't be read becomes U+FFFD. Brackets, commas
+// and quotes must be in order; where they aren't the result can't be read
+// either.
+//
+// For pages of which others wrote single items: one of them with a bad byte
+// would else make all the others unreadable. Costs as much as parsing twice, so
+// callers parse first and mend only what fails.
+std::string MendJson(std::string_view text);
+
 // The document on one line; bytes that are not UTF-8 become U+FFFD, so that
 // this never fails.
 std::string DumpJson(const Json& value);
--- a/packages/base/src/json.cc
+++ b/packages/base/src/json.cc
@@ -1,10 +1,15 @@
 #include "hibiscuspick/base/json.h"
 
+#include <algorithm>
 #include <string>
 
 namespace hibiscuspick {
 namespace {
 
+constexpr std::string_view kBlanks = " \t\r\n";
+constexpr std::string_view kMarks = "{}[],:";
+constexpr std::string_view kUnreadableKey = "\"\\ufffd\"";
+
 // The deepest nesting of brackets outside strings. Comments may hold brackets
 // too and then count, which only makes the check stricter.
 int DepthOf(std::string_view text) {
@@ -32,6 +37,52 @@
   return it == std::string::npos ? whole : whole.substr(it + 2);
 }
 
+// The end of the text that begins with the quote at `begin`, past its closing
+// quote.
+size_t EndOfString(std::string_view text, size_t begin) {
+  size_t i = begin + 1;
+  while (i < text.size() && text[i] != '"') i += text[i] == '\\' ? 2 : 1;
+  return std::min(i + 1, text.size());
+}
+
+// The end of a number or word.
+size_t EndOfWord(std::string_view text, size_t begin) {
+  size_t i = begin;
+  while (i < text.size() && text[i] != '"' &&
+         kMarks.find(text[i]) == std::string_view::npos &&
+         kBlanks.find(text[i]) == std::string_view::npos) {
+    ++i;
+  }
+  return i;
+}
+
+// The end of the container that begins with the bracket at `begin`.
+size_t EndOfContainer(std::string_view text, size_t begin) {
+  int depth = 0;
+  size_t i = begin;
+  while (i < text.size()) {
+    const char c = text[i];
+    if (c == '"') {
+      i = EndOfString(text, i);
+      continue;
+    }
+    ++i;
+    if (c == '{' || c == '[') ++depth;
+    if ((c == '}' || c == ']') && --depth == 0) break;
+  }
+  return i;
+}
+
+bool IsKey(std::string_view text, size_t end) {
+  const size_t next = text.find_first_not_of(kBlanks, end);
+  return next != std::string_view::npos && text[next] == ':';
+}
+
+bool CanBeRead(std::string_view token) {
+  // Not only `accept`: a number such as 1e999 passes there.
+  return IsOk(ParseJson(token));
+}
+
 }  // namespace
 
 Result<Json> ParseJson(std::string_view text, JsonComments comments) {
@@ -51,6 +102,40 @@
   }
 }
 
+std::string MendJson(std::string_view text) {
+  std::string mended;
+  mended.reserve(text.size());
+  int depth = 0;
+  size_t i = 0;
+  while (i < text.size()) {
+    const char c = text[i];
+    if (kBlanks.find(c) != std::string_view::npos) {
+      mended += c;
+      ++i;
+      continue;
+    }
+    const bool opens = c == '{' || c == '[';
+    if (opens && depth >= kMaxJsonDepth / 2) {
+      mended += "null";
+      i = EndOfContainer(text, i);
+      continue;
+    }
+    if (kMarks.find(c) != std::string_view::npos) {
+      depth += opens ? 1 : (c == '}' || c == ']') ? -1 : 0;
+      mended += c;
+      ++i;
+      continue;
+    }
+    const size_t end = c == '"' ? EndOfString(text, i) : EndOfWord(text, i);
+    const std::string_view token = text.substr(i, end - i);
+    mended += CanBeRead(token)               ? token
+              : c == '"' && IsKey(text, end) ? kUnreadableKey
+                                             : "null";
+    i = end;
+  }
+  return mended;
+}
+
 std::string DumpJson(const Json& value) {
   return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -82,6 +82,33 @@
   BOOST_TEST(IsOk(result));
 }
 
+// One value of a page can't be read; all others are there afterwards.
+BOOST_AUTO_TEST_CASE(what_can_not_be_read_is_put_aside) {
+  struct Row {
+    const char* text;
+    const char* mended;
+  };
+  const Row rows[] = {
+      {"{\"a\": \"\xff\", \"b\": 1}", R"({"a":null,"b":1})"},
+      {"{\"\xff\": 2, \"b\": 1}", "{\"b\":1,\"\xef\xbf\xbd\":2}"},
+      {R"([NaN, -Infinity, 1e999, 0x7, 01, 2])",
+       "[null,null,null,null,null,2]"},
+      {R"(["\ud800", "\x", "a\"b", "{[,:"])", R"([null,null,"a\"b","{[,:"])"},
+      {R"({"a" : tru, "b" : true})", R"({"a":null,"b":true})"},
+  };
+  for (const auto& row : rows) {
+    const auto read = ParseJson(hibiscuspick::MendJson(row.text));
+    BOOST_TEST_REQUIRE(IsOk(read));
+    BOOST_TEST(hibiscuspick::DumpJson(hibiscuspick::ValueOf(read)) ==
+               row.mended);
+  }
+  const std::string deep = std::string(99, '[') + std::string(99, ']');
+  BOOST_TEST(IsOk(ParseJson(hibiscuspick::MendJson("[" + deep + ", 1]"))));
+  for (const char* lost : {"", "{", "[1, 2", "{\"a\" 1}", "[\"a]", "]"}) {
+    BOOST_TEST(!IsOk(ParseJson(hibiscuspick::MendJson(lost))));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(lanes_are_spelled_one_way) {
   for (const auto it : hibiscuspick::kAllLanes) {
     BOOST_TEST((hibiscuspick::ParseLane(hibiscuspick::LaneName(it)) == it));
--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -32,6 +32,9 @@
 struct AttemptResult {
   AttemptId id;
   BackendServerId server;
+  // Of the very server that had the attempt. Under the same id another may be
+  // listed meanwhile, of which this result tells nothing.
+  std::shared_ptr<engine::ServerBelief> belief;
   AttemptEnd end = AttemptEnd::kNotSent;
   HttpReply reply;
   // From the moment it was sent.
@@ -142,10 +145,9 @@
   bool IsToldCutOff() const { return loop_->now() < told_cut_off_until_; }
 
   // A server said that its address is now another's.
-  void NoteForeign(const BackendServerId& id);
-  void NoteFailure(const BackendServerId& id, AttemptId attempt);
-  void NoteReply(const BackendServerId& id, AttemptId attempt, Millis latency,
-                 Millis usual);
+  void NoteForeign(const AttemptResult& result);
+  void NoteFailure(const AttemptResult& result);
+  void NoteReply(const AttemptResult& result, Millis usual);
 
  private:
   struct Server;
@@ -167,6 +169,8 @@
   void Probe(const std::shared_ptr<Server>& server);
   void LookForSilence();
   void DoubtSilent(const std::shared_ptr<Server>& server, Millis since);
+  std::shared_ptr<Server> AddServer(const engine::ServerEntry& entry);
+  void RemoveServer(const std::shared_ptr<Server>& server);
   void Retire(const std::shared_ptr<Server>& server);
   void Forget(const std::shared_ptr<Server>& server);
   void PumpSoon(const ServiceId& service);
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -242,6 +242,7 @@
   AttemptResult result;
   result.id = id;
   result.server = server->belief.entry.id;
+  result.belief = {server, &server->belief};
   result.end = end;
   result.reply = std::move(reply);
   result.latency = loop_->now() - attempt->sent;
@@ -264,7 +265,7 @@
     attempt.order.on_end =
         [this, usual = attempt.order.usual](const AttemptResult& it) {
           if (it.end == AttemptEnd::kReply) {
-            NoteReply(it.server, it.id, it.latency, usual);
+            NoteReply(it, usual);
           }
         };
     loop_->At(loop_->now() + kAbandonedTime, [this, id] { Abandon(id, true); });
@@ -287,18 +288,13 @@
   server->idle.push_back(channel);
 }
 
-void Backends::NoteFailure(const BackendServerId& id, AttemptId attempt) {
-  const auto found = servers_.find(id);
-  if (found == servers_.end()) return;
-  engine::NoteFailure(&found->second->belief, attempt, policy_.choice,
+void Backends::NoteFailure(const AttemptResult& result) {
+  engine::NoteFailure(result.belief.get(), result.id, policy_.choice,
                       loop_->now());
 }
 
-void Backends::NoteReply(const BackendServerId& id, AttemptId attempt,
-                         Millis latency, Millis usual) {
-  const auto found = servers_.find(id);
-  if (found == servers_.end()) return;
-  engine::NoteReply(&found->second->belief, attempt, latency, usual,
+void Backends::NoteReply(const AttemptResult& result, Millis usual) {
+  engine::NoteReply(result.belief.get(), result.id, result.latency, usual,
                     policy_.choice, loop_->now());
 }
 
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -101,12 +101,15 @@
   });
 }
 
-void Backends::NoteForeign(const BackendServerId& id) {
-  const auto found = servers_.find(id);
-  if (found == servers_.end()) return;
-  Log(Part::kBackend).info("server {}: its address is another's", id.text);
-  found->second->belief.draining = true;
-  Retire(found->second);
+void Backends::NoteForeign(const AttemptResult& result) {
+  Log(Part::kBackend)
+      .info("server {}: its address is another's", result.server.text);
+  result.belief->draining = true;
+  const auto found = servers_.find(result.server);
+  if (found != servers_.end() &&
+      &found->second->belief == result.belief.get()) {
+    Retire(found->second);
+  }
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/backends_servers.cc
+++ b/packages/edge/src/backends_servers.cc
@@ -27,16 +27,53 @@
   }
 }
 
+namespace {
+
+// Whether the entry tells of the server that is known, and not of another one
+// under its id: what replies, failures and words of leaving have shown holds
+// only of that one. A server that has started again under its id answers
+// nothing sent to the earlier one, and would get no work if that one had been
+// leaving or out of reach.
+bool IsSameServer(const engine::ServerEntry& known,
+                  const engine::ServerEntry& entry) {
+  return known.incarnation == entry.incarnation &&
+         known.service == entry.service && known.address == entry.address;
+}
+
+}  // namespace
+
+std::shared_ptr<Backends::Server> Backends::AddServer(
+    const engine::ServerEntry& entry) {
+  auto server = std::make_shared<Server>();
+  server->belief.entry = entry;
+  StateOf(entry.service).servers.push_back(server);
+  servers_[entry.id] = server;
+  return server;
+}
+
+void Backends::RemoveServer(const std::shared_ptr<Server>& server) {
+  if (!server->belief.removed) {
+    Log(Part::kBackend).info("server {} is gone", server->belief.entry.id.text);
+  }
+  server->belief.removed = true;
+  Retire(server);
+  Forget(server);
+}
+
 void Backends::SetServers(const std::vector<engine::ServerEntry>& entries) {
   const Millis now = loop_->now();
   std::unordered_set<BackendServerId> present;
   for (const auto& entry : entries) {
     present.insert(entry.id);
-    auto& server = servers_[entry.id];
+    const auto found = servers_.find(entry.id);
+    auto server = found == servers_.end() ? nullptr : found->second;
+    if (server && !IsSameServer(server->belief.entry, entry)) {
+      RemoveServer(server);
+      server = nullptr;
+    }
     const bool is_new = !server;
     if (is_new) {
-      server = std::make_shared<Server>();
-      StateOf(entry.service).servers.push_back(server);
+      server = AddServer(entry);
     } else if (server->belief.entry == entry && !server->belief.removed) {
       continue;
     }
@@ -55,15 +92,7 @@
   for (const auto& [id, server] : servers_) {
     if (!present.contains(id)) gone.push_back(server);
   }
-  for (const auto& server : gone) {
-    if (!server->belief.removed) {
-      Log(Part::kBackend)
-          .info("server {} is gone", server->belief.entry.id.text);
-    }
-    server->belief.removed = true;
-    Retire(server);
-    Forget(server);
-  }
+  for (const auto& it : gone) RemoveServer(it);
 }
 
 std::vector<DataCentreId> Backends::PlacesOf(
@@ -120,7 +149,11 @@
   if (!server->belief.removed || !server->belief.open.empty()) return;
   auto& all = StateOf(server->belief.entry.service).servers;
   std::erase(all, server);
-  servers_.erase(server->belief.entry.id);
+  const auto listed = servers_.find(server->belief.entry.id);
+  // Another one may stand under its id by now.
+  if (listed != servers_.end() && listed->second == server) {
+    servers_.erase(listed);
+  }
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -226,7 +226,7 @@
   auto& backends = *context_->backends;
   const bool whole = result.end == AttemptEnd::kReply;
   if (whole && IsGood(result.reply)) {
-    backends.NoteReply(result.server, result.id, result.latency, pace_->usual);
+    backends.NoteReply(result, pace_->usual);
     engine::AddLatency(pace_, result.latency, route_->target);
     if (done_ || part.in) return;
     part.in = true;
@@ -237,7 +237,7 @@
     Check();
     return;
   }
-  backends.NoteFailure(result.server, result.id);
+  backends.NoteFailure(result);
   if (!done_ && !part.in) OnFailed(i, result);
   if (!done_) Check();
 }
@@ -250,7 +250,7 @@
     constexpr int kMisdirected = 421;
     const bool foreign = result.reply.status == kMisdirected;
     ran = !foreign && FindHeader(result.reply.headers, names.not_run).empty();
-    if (foreign) context_->backends->NoteForeign(result.server);
+    if (foreign) context_->backends->NoteForeign(result);
     if (ran) part.failure = result.reply;
   }
   if (!ran) {
--- /dev/null
+++ b/packages/edge/tests/restarted_servers_test.cc
@@ -0,0 +1,93 @@
+#include <atomic>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <ostream>
+
+#include "traffic_fixture.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::edge {
+namespace {
+
+RawServer::Script Answers(const std::string& body) {
+  return [=](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, "stamp", body)};
+  };
+}
+
+struct EarlierLifeRow {
+  const char* what;
+  // Makes the entry that of an earlier life.
+  std::function<void(engine::ServerEntry*)> change;
+};
+
+std::ostream& operator<<(std::ostream& out, const EarlierLifeRow& row) {
+  return out << row.what;
+}
+
+const EarlierLifeRow kEarlierLives[] = {
+    {"was leaving", [](auto* it) { it->draining = true; }},
+    {"was of another service", [](auto* it) { it->service = ServiceId("t"); }},
+    {"was at an address where nobody is now",
+     [](auto* it) { it->address.port = FreePort(); }},
+    {"was just starting", [](auto* it) { it->warmup_left = Millis(60000); }},
+};
+
+// A backend server ends and starts again under the id that it had. The new one
+// holds nothing of before; were what is believed of the earlier one kept, it
+// would get no requests, though it is ready and nobody else serves them.
+BOOST_DATA_TEST_CASE(RestartedServersBeginClean, bdata::make(kEarlierLives),
+                     row) {
+  TrafficFixture fixture;
+  fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
+  fixture.AddServer("s", Answers("here"));
+  const auto later = fixture.entries()[0];
+  auto& entry = fixture.entries()[0];
+  entry.incarnation = Incarnation(100);
+  row.change(&entry);
+  fixture.Publish(1);
+  fixture.Ask("GET /p/before");
+  entry = later;
+  entry.incarnation = Incarnation(200);
+  fixture.Publish(2);
+  const auto answer = fixture.Ask("GET /p/after");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(answer.ends_with("here"));
+}
+
+// While a request is with the earlier life, the later one is listed. The answer
+// on the old connection is the caller's, and neither the connection nor what it
+// tells is taken for the later one's.
+BOOST_AUTO_TEST_CASE(AnswersOfAnEarlierLifeAreNoneOfTheLater) {
+  TrafficFixture fixture;
+  fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
+  std::atomic<bool> go = false;
+  auto& earlier = fixture.AddServer("s", [&](const std::string& request) {
+    Eventually([&] { return go.load(); });
+    return Scripted{.text = GoodAnswer(request, "stamp", "earlier")};
+  });
+  auto& later = fixture.AddServer("s", Answers("later"));
+  const auto second = fixture.entries()[1];
+  fixture.entries().pop_back();
+  fixture.entries()[0].incarnation = Incarnation(100);
+  fixture.Publish(1);
+  RawClient client(fixture.port());
+  client.Say(
+      TrafficFixture::RequestText("GET /p/one", "Connection: close\r\n"));
+  BOOST_TEST_REQUIRE(Eventually([&] { return earlier.requests().size() == 1; }));
+  auto& entry = fixture.entries()[0];
+  entry.incarnation = Incarnation(200);
+  entry.address = second.address;
+  fixture.Publish(2);
+  go = true;
+  BOOST_TEST(client.Hear().ends_with("earlier"));
+  BOOST_TEST(fixture.Ask("GET /p/two").ends_with("later"));
+  BOOST_TEST(later.requests().size() == 1);
+  BOOST_TEST(earlier.requests().size() == 1);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::edge
--- a/packages/engine/include/hibiscuspick/engine/directory.h
+++ b/packages/engine/include/hibiscuspick/engine/directory.h
@@ -35,6 +35,8 @@
                 Millis now);
 
 void PutEntry(Directory* directory, const ServerEntry& entry);
+// It is no longer to be believed, at once: not a lapse, but a word against it.
+void DropEntry(Directory* directory, const BackendServerId& id);
 void RemoveEntry(Directory* directory, const BackendServerId& id, Millis now);
 
 // When the next entry stops being believed.
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -17,6 +17,10 @@
 // to another server once its owner is gone.
 struct ServerEntry {
   BackendServerId id;
+  // A server may start again under its id, and then holds nothing of before:
+  // all that is believed of it belongs to one life. None where servers don't
+  // say.
+  Incarnation incarnation;
   ServiceId service;
   Address address;
   DataCentreId data_centre;
--- a/packages/engine/src/directory.cc
+++ b/packages/engine/src/directory.cc
@@ -27,10 +27,14 @@
   directory->lapsing.erase(entry.id);
 }
 
+void DropEntry(Directory* directory, const BackendServerId& id) {
+  directory->entries.erase(id);
+  directory->lapsing.erase(id);
+}
+
 void RemoveEntry(Directory* directory, const BackendServerId& id, Millis now) {
   if (now >= directory->doubtful_until) {
-    directory->entries.erase(id);
-    directory->lapsing.erase(id);
+    DropEntry(directory, id);
     return;
   }
   directory->lapsing.try_emplace(id, now + kReturnTime);
--- a/packages/engine/tests/directory_test.cc
+++ b/packages/engine/tests/directory_test.cc
@@ -45,5 +45,21 @@
   BOOST_TEST(!directory.entries.contains(BackendServerId("b")));
 }
 
+// An entry that was good now says what can't be read, while the store is in
+// trouble. It hasn't lapsed, someone has written over it: kept, it would get
+// requests for two more seconds, and come back with the next list.
+BOOST_AUTO_TEST_CASE(EntriesThatTurnBadAreUsedNoLonger) {
+  Directory directory;
+  NoteStoreTrouble(&directory, Millis(1000));
+  ReplaceAll(&directory, {Entry("a"), Entry("b")}, Millis(1000));
+  RemoveEntry(&directory, BackendServerId("a"), Millis(1100));
+  DropEntry(&directory, BackendServerId("a"));
+  DropEntry(&directory, BackendServerId("b"));
+  BOOST_TEST(directory.entries.empty());
+  BOOST_TEST(!NextLapse(directory).has_value());
+  PutEntry(&directory, Entry("b"));
+  BOOST_TEST(directory.entries.contains(BackendServerId("b")));
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,14 @@
 from daemons import GRACE
 from promises import CONFIG_BOUND, DRAIN_BOUND
 
+# What another writer leaves in the store where an object is due.
+STRANGE = [b"7", b"[]", b"{}", b'{"spec": {}}', b'{"meta": 3}', b'{"meta": {"Name": "\xff\xfe"}, "spec": {}}',
+           b'{"meta": {"Name": "odd", "Revision": NaN}}', b'{"meta": {"Name": "odd"}, "spec": {"Slots": 1e999}}']
+STRANGE_SPECS = [{"Backend": "plain", "Zone": "a", "Version": "v1", "Slots": 2, "State": "starting",
+                  "WarmupLeftMs": 0, "Seq": 1},
+                 {"Backend": "plain", "Zone": "a", "State": "ready"},
+                 {"Backend": 3, "Zone": None, "Slots": "many"}]
+
 
 class Faults:
     def take(self, most):
@@ -151,6 +159,28 @@
         proxies = [proxy for it in some for proxy in it.peer_proxies]
         await self.harm(proxies, what, hold)
 
+    async def fault_strange_object(self, _hold):
+        """Somebody else writes into the store what is no backend server's entry."""
+        store = self.world.store
+        kind = self.random.choice(["servers", "servers", "hibiscuspick-instances", "config"])
+        if self.random.random() < 0.5:
+            store.put_strange(kind, self.random.choice(STRANGE))
+            return
+        spec = dict(self.random.choice(STRANGE_SPECS))
+        spec.setdefault("Address", f"127.0.0.1:{self.world.backends[0].port}")
+        store.put(kind, f"strange{store.revision}", spec)
+
+    async def fault_entry_turns_bad(self, hold):
+        """Another writer goes over a server's entry; the server writes it anew later."""
+        it = self.random.choice([it for it in self.world.backends if it.drained_at is None])
+        good = self.world.store.objects.get(("servers", it.name))
+        if good is None:
+            return
+        self.world.store.put("servers", it.name, self.random.choice(STRANGE_SPECS))
+        await asyncio.sleep(min(hold, 0.5))
+        if it.drained_at is None:
+            self.world.write_entry(it, "ready")
+
     async def fault_clock(self, hold):
         some = self.random.sample(self.daemons, 3)
         jump = self.random.choice([-3600, -3, 3, 3600])
@@ -173,7 +203,7 @@
         kinds = [self.fault_kill, self.fault_freeze, self.fault_stop, self.fault_hup, self.fault_store,
                  self.fault_store_cut, self.fault_backend, self.fault_backend, self.fault_backend_link,
                  self.fault_drain, self.fault_config, self.fault_peer_link, self.fault_clock,
-                 self.fault_log_stands]
+                 self.fault_log_stands, self.fault_strange_object, self.fault_entry_turns_bad]
         tasks = []
         while self.now() < until:
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -73,6 +73,8 @@
         self.delay = 0.0
         # Objects in one answer to a list.
         self.page = 5
+        # Objects that another writer put in, as bytes that may not be JSON.
+        self.strange = {}
         # Addresses that instances write of themselves, and the proxies before them.
         self.stand_ins = {}
 
@@ -127,7 +129,8 @@
         if method == "GET":
             items = [it for (kind, name), it in sorted(self.objects.items())
                      if kind == path[0] and name > args.get("after", "")]
-            return self._json({"items": items[:self.page], "More": len(items) > self.page,
+            strange = self.strange.get(path[0], []) if "after" not in args else []
+            return self._json({"items": strange + items[:self.page], "More": len(items) > self.page,
                                "CurrentRev": self.revision})
         if method == "DELETE":
             self.remove(path[0], path[1])
@@ -155,9 +158,27 @@
             except asyncio.TimeoutError:
                 pass
 
+    def put_strange(self, kind, raw):
+        self.revision += 1
+        self.strange.setdefault(kind, []).append(Raw(raw))
+        self.log.append((self.revision, kind, {"Object": Raw(raw), "Tombstone": False}))
+        self._wake()
+
     @staticmethod
     def _json(value):
-        return reply(200, json.dumps(value).encode())
+        raws = []
+        text = json.dumps(value, default=lambda it: raws.append(it.text) or f"@raw{len(raws) - 1}@")
+        body = text.encode()
+        for i, raw in enumerate(raws):
+            body = body.replace(f'"@raw{i}@"'.encode(), raw)
+        return reply(200, body)
+
+
+class Raw:
+    """A piece of JSON, or of what is none, that goes out as it is."""
+
+    def __init__(self, text):
+        self.text = text
 
 
 class Backend(Server):
