--- a/packages/edge/tests/restarted_servers_test.cc
+++ b/packages/edge/tests/restarted_servers_test.cc
@@ -77,7 +77,8 @@
   RawClient client(fixture.port());
   client.Say(
       TrafficFixture::RequestText("GET /p/one", "Connection: close\r\n"));
-  BOOST_TEST_REQUIRE(Eventually([&] { return earlier.requests().size() == 1; }));
+  BOOST_TEST_REQUIRE(
+      Eventually([&] { return earlier.requests().size() == 1; }));
   auto& entry = fixture.entries()[0];
   entry.incarnation = Incarnation(200);
   entry.address = second.address;
