A data centre out of reach is sounded at the first sign

Cause: a cut showed at single servers one by one, each by 400 ms of silence and a connection that hangs. Change: after 100 ms without a word from a data centre that was asked, connections are tried to three of its instances, then to its servers; none in 200 ms, and it is lost to queries, relays and hand-overs until it is heard. Alone: not ready.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -14,6 +14,7 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/sounder.h"
 #include "hibiscuspick/engine/extra_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/server_belief.h"
@@ -95,7 +96,8 @@
 
 class Backends {
  public:
-  Backends(Loop* loop, BackendsPolicy policy);
+  // `sounder` outlives it, and is told of every server that is heard.
+  Backends(Loop* loop, BackendsPolicy policy, Sounder* sounder);
   ~Backends();
 
   void SetServers(const std::vector<engine::ServerEntry>& entries);
@@ -134,15 +136,18 @@
   // The data centres that have a server of it which can be reached and isn't
   // suspected of standing still.
   std::vector<DataCentreId> PlacesOfService(const ServiceId& service) const;
-  // Whether every try at the servers of other data centres has failed for a
-  // while: the instance's data centre is cut off.
+  // Addresses of servers in a data centre that may be in reach, other ones each
+  // time.
+  std::vector<Address> AddressesIn(const DataCentreId& where);
+  // Whether no other data centre can be reached, or every try at servers there
+  // has failed for a while: the instance's data centre is cut off.
   bool IsCutOff() const;
   // The sender of this data centre says that it is cut off. Believed until a
   // server elsewhere is heard, or for kToldCutOff: an instance that hands its
   // queries over finds out for itself only after many of its callers have been
   // refused.
-  void NoteToldCutOff() { told_cut_off_until_ = loop_->now() + kToldCutOff; }
-  bool IsToldCutOff() const { return loop_->now() < told_cut_off_until_; }
+  void NoteToldCutOff() { told_cut_off_ = loop_->now(); }
+  bool IsToldCutOff() const;
 
   // A server said that its address is now another's.
   void NoteForeign(const AttemptResult& result);
@@ -164,6 +169,7 @@
   void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply);
   void KeepChannel(const std::shared_ptr<Server>& server,
                    const std::shared_ptr<HttpChannel>& channel);
+  bool IsInReach(const Server& server) const;
   void NoteHeard(Server* server);
   void NoteUnheard(const Server& server);
   void Probe(const std::shared_ptr<Server>& server);
@@ -181,7 +187,9 @@
 
   Loop* const loop_;
   const BackendsPolicy policy_;
-  Millis told_cut_off_until_{-1};
+  Sounder* const sounder_;
+  // When the sender of this data centre last said that it is cut off.
+  std::optional<Millis> told_cut_off_;
   std::unordered_map<BackendServerId, std::shared_ptr<Server>> servers_;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> services_;
   std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
@@ -192,6 +200,7 @@
   Loop::TimerId sweep_ = 0;
   uint64_t last_attempt_ = 0;
   uint64_t last_wait_ = 0;
+  size_t sounded_ = 0;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -12,6 +12,7 @@
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/edge/sounder.h"
 #include "hibiscuspick/engine/peers.h"
 
 namespace hibiscuspick::edge {
@@ -57,7 +58,8 @@
  public:
   using OnEnd = std::function<void(HandedEnd, HttpReply)>;
 
-  explicit PeerSender(Loop* loop) : loop_(loop) {}
+  // `sounder` outlives it, and is told who answers and who doesn't.
+  PeerSender(Loop* loop, Sounder* sounder) : loop_(loop), sounder_(sounder) {}
   ~PeerSender();
   PeerSender(const PeerSender&) = delete;
   PeerSender& operator=(const PeerSender&) = delete;
@@ -104,6 +106,7 @@
   void End(const std::shared_ptr<Open>& open, HandedEnd end, HttpReply reply);
 
   Loop* const loop_;
+  Sounder* const sounder_;
   std::optional<engine::Peer> own_;
   std::vector<engine::Peer> senders_;
   std::vector<engine::Peer> relays_;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -69,6 +69,9 @@
   void SetPeers(const engine::Peer& own,
                 const std::vector<engine::Peer>& senders,
                 const std::vector<engine::Peer>& relays, size_t instances);
+  // Some instances of each other data centre, by which it is found out whether
+  // that can be reached.
+  void SetSounded(const std::vector<engine::Peer>& peers);
 
   // Not ready from now on; `done` is called when nothing is in hand any more
   // or the time is up.
@@ -111,6 +114,7 @@
 
   Loop* const loop_;
   const TrafficSettings settings_;
+  Sounder sounder_;
   Backends backends_;
   QueryContext context_;
   HttpListener callers_;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-Backends::Backends(Loop* loop, BackendsPolicy policy)
-    : loop_(loop), policy_(std::move(policy)) {
+Backends::Backends(Loop* loop, BackendsPolicy policy, Sounder* sounder)
+    : loop_(loop), policy_(std::move(policy)), sounder_(sounder) {
   sweep_ =
       loop_->At(SteadyNow() + kSweepInterval, [this] { LookForSilence(); });
 }
@@ -83,9 +83,8 @@
   const auto found = services_.find(service);
   if (found == services_.end()) return false;
   const auto& servers = found->second->servers;
-  return std::any_of(servers.begin(), servers.end(), [](auto& it) {
-    return engine::IsWithinReach(it->belief);
-  });
+  return std::any_of(servers.begin(), servers.end(),
+                     [&](auto& it) { return IsInReach(*it); });
 }
 
 std::optional<engine::ShardOutlook> Backends::Outlook(const ServiceId& service,
@@ -98,7 +97,7 @@
   double at_once = 0;
   for (const auto& it : state.servers) {
     const auto& belief = it->belief;
-    if (!engine::IsWithinReach(belief)) continue;
+    if (!IsInReach(*it)) continue;
     const Millis cost =
         usual * engine::SlownessNow(belief, policy_.choice, loop_->now());
     fastest = fastest ? Min(*fastest, cost) : cost;
@@ -132,6 +131,7 @@
   for (size_t i = 0; i < n; ++i) {
     Server* server = state.servers[(i + state.turn) % n].get();
     const auto& belief = server->belief;
+    if (!IsInReach(*server)) continue;
     if (order.only_unsuspected && engine::IsSuspected(belief, now)) continue;
     if (std::find(order.excluded.begin(), order.excluded.end(),
                   belief.entry.id) != order.excluded.end()) {
@@ -239,6 +239,9 @@
   const auto attempt = std::move(found->second);
   attempts_.erase(found);
   const auto server = attempt->server;
+  if (end != AttemptEnd::kReply) {
+    sounder_->NoteFailed(server->belief.entry.data_centre);
+  }
   AttemptResult result;
   result.id = id;
   result.server = server->belief.entry.id;
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -1,4 +1,5 @@
 // Which servers can be reached, and whether the data centre is cut off.
+#include <algorithm>
 
 #include "backends_impl.h"
 #include "hibiscuspick/base/log.h"
@@ -14,6 +15,10 @@
 // of a second, a server that says nothing for a while is well.
 constexpr double kOverdueTimes = 4;
 
+// After this many times what makes an attempt overdue it is a sign against the
+// server's data centre, if nothing else there speaks.
+constexpr double kSignTimes = 2;
+
 // An instance takes its data centre for cut off if this many tries at servers
 // elsewhere have failed with none heard in between, for this long: more than a
 // pause of one server and the connect timeout of another, less than a second,
@@ -23,20 +28,45 @@
 
 }  // namespace
 
+std::vector<Address> Backends::AddressesIn(const DataCentreId& where) {
+  std::vector<Address> found;
+  for (const auto& [id, it] : servers_) {
+    const auto& entry = it->belief.entry;
+    if (it->belief.removed || entry.data_centre != where) continue;
+    found.push_back(entry.address);
+  }
+  // Another beginning each time: the first may be the one that is down.
+  if (!found.empty()) {
+    const auto turn = static_cast<std::ptrdiff_t>(++sounded_ % found.size());
+    std::rotate(found.begin(), found.begin() + turn, found.end());
+  }
+  return found;
+}
+
+bool Backends::IsInReach(const Server& server) const {
+  return engine::IsWithinReach(server.belief) &&
+         !sounder_->IsLost(server.belief.entry.data_centre);
+}
+
+bool Backends::IsToldCutOff() const {
+  return told_cut_off_ && loop_->now() - *told_cut_off_ < kToldCutOff &&
+         sounder_->heard_elsewhere() <= *told_cut_off_;
+}
+
 bool Backends::IsCutOff() const {
-  if (IsToldCutOff()) return true;
+  if (IsToldCutOff() || sounder_->IsAlone()) return true;
   return remote_failures_ >= kCutOffFailures &&
          loop_->now() - remote_heard_ >= kCutOffSilence;
 }
 
 void Backends::NoteHeard(Server* server) {
   server->heard = loop_->now();
+  sounder_->NoteHeard(server->belief.entry.data_centre);
   if (server->belief.entry.data_centre == policy_.choice.own_data_centre) {
     return;
   }
   remote_heard_ = loop_->now();
   remote_failures_ = 0;
-  told_cut_off_until_ = Millis(-1);
 }
 
 void Backends::NoteUnheard(const Server& server) {
@@ -54,6 +84,9 @@
   for (const auto& [id, it] : attempts_) {
     if (!it->was_sent || it->server->belief.unreachable) continue;
     const Millis open = loop_->now() - it->sent;
+    if (open > it->order.overdue_after * kSignTimes) {
+      sounder_->Suspect(it->server->belief.entry.data_centre, it->sent);
+    }
     if (open < it->order.overdue_after * kOverdueTimes) continue;
     DoubtSilent(it->server, it->sent);
   }
@@ -89,6 +122,7 @@
                        server->probing = false;
                        if (!ok) {
                          NoteUnheard(*server);
+                         sounder_->NoteFailed(server->belief.entry.data_centre);
                          Probe(server);
                          return;
                        }
--- a/packages/edge/src/backends_servers.cc
+++ b/packages/edge/src/backends_servers.cc
@@ -127,8 +127,7 @@
   if (found == services_.end()) return places;
   for (const auto& it : found->second->servers) {
     const auto& belief = it->belief;
-    if (!engine::IsWithinReach(belief) ||
-        engine::IsSuspected(belief, loop_->now())) {
+    if (!IsInReach(*it) || engine::IsSuspected(belief, loop_->now())) {
       continue;
     }
     const auto& place = belief.entry.data_centre;
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -23,6 +23,9 @@
 // overload a sender answers few, and those late: with 60 ms it was doubted in
 // just the seconds in which its one queue is worth most.
 constexpr Millis kSilence{300};
+// After this it is a sign that its data centre, or this one, is cut off.
+constexpr Millis kLateAnswer{20};
+
 constexpr size_t kAnswerBytes = 16 << 20;
 
 std::optional<int64_t> NumberIn(const std::vector<Header>& headers,
@@ -146,7 +149,8 @@
 
 bool PeerSender::TakesParts(const engine::Peer& peer,
                             const DataCentreId& where) const {
-  return peer.data_centre == where && !IsAvoided(peer.id);
+  return peer.data_centre == where && !sounder_->IsLost(where) &&
+         !IsAvoided(peer.id);
 }
 
 bool PeerSender::HasRelayIn(const DataCentreId& where) const {
@@ -179,7 +183,9 @@
   if (!own_ || senders_.empty()) return nullptr;
   std::vector<engine::Peer> there;
   for (const auto& it : senders_) {
-    if (!IsAvoided(it.id)) there.push_back(it);
+    if (!IsAvoided(it.id) && !sounder_->IsLost(it.data_centre)) {
+      there.push_back(it);
+    }
   }
   const auto* chosen = engine::SenderFor(there, *own_, places, ++turn_);
   if (chosen == nullptr) return nullptr;
@@ -241,6 +247,16 @@
 void PeerSender::SuspectLater(const std::shared_ptr<Open>& open, Millis due) {
   const Millis sent = loop_->now();
   const std::weak_ptr<Open> weak = open;
+  loop_->At(sent + Max(due, Millis(0)) + kLateAnswer, [this, weak, sent] {
+    const auto it = weak.lock();
+    if (!it || !it->on_end || heard_[it->peer.id] > sent) return;
+    if (own_ && it->peer.data_centre == own_->data_centre) {
+      // It may wait for answers from elsewhere itself.
+      sounder_->SuspectAll(sent);
+    } else {
+      sounder_->Suspect(it->peer.data_centre, sent);
+    }
+  });
   loop_->At(sent + Max(due, Millis(0)) + kSilence, [this, weak, sent] {
     const auto it = weak.lock();
     if (!it || !it->on_end || heard_[it->peer.id] > sent) return;
@@ -265,6 +281,7 @@
       return;
     }
     heard_[open->peer.id] = loop_->now();
+    sounder_->NoteHeard(open->peer.data_centre);
     if (open->channel->IsIdle()) idle_[open->peer.id].push_back(open->channel);
     if (reply.status == kOutOfReach) Avoid(open->peer.id);
     const bool begun =
@@ -282,6 +299,7 @@
   if (lost) {
     Log(Part::kMembers).info("peer {} lost a query", open->peer.id.text);
     Avoid(open->peer.id);
+    sounder_->NoteFailed(open->peer.data_centre);
     open->channel->Close();
     for (auto& it : std::exchange(idle_[open->peer.id], {})) it->Close();
   }
--- /dev/null
+++ b/packages/edge/src/sounder.cc
@@ -0,0 +1,108 @@
+#include "hibiscuspick/edge/sounder.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/edge/http_channel.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+// Instances and servers that one sounding tries. One alone may have just ended.
+constexpr size_t kMostTried = 3;
+
+// Servers are tried only if the instances have said nothing for this long: a
+// connection takes 1 to 6 ms of a server's slot.
+constexpr Millis kServersAfter{90};
+
+}  // namespace
+
+void Sounder::SetPeers(const std::vector<engine::Peer>& peers) {
+  std::map<DataCentreId, std::vector<Address>> addresses;
+  for (const auto& it : peers) {
+    auto& there = addresses[it.data_centre];
+    if (it.data_centre != own_ && there.size() < kMostTried) {
+      there.push_back(it.queries);
+    }
+  }
+  for (auto& [where, there] : addresses) {
+    // One without instances in reach keeps those that were.
+    if (!there.empty()) places_[where].peers = std::move(there);
+  }
+}
+
+void Sounder::NoteHeard(const DataCentreId& where) {
+  if (where == own_) return;
+  heard_elsewhere_ = loop_->now();
+  if (engine::NoteHeard(&places_[where].reach, loop_->now())) {
+    Log(Part::kMembers).info("data centre {} is back", where.text);
+  }
+}
+
+void Sounder::NoteFailed(const DataCentreId& where) {
+  if (where == own_) return;
+  auto& place = places_[where];
+  if (place.failed <= place.reach.heard) place.failed = loop_->now();
+  Suspect(where, place.failed);
+}
+
+void Sounder::Suspect(const DataCentreId& where, Millis since) {
+  if (where == own_) return;
+  const auto& place = places_[where];
+  if (engine::WantsSounding(place.reach, since, loop_->now())) Sound(where);
+}
+
+void Sounder::SuspectAll(Millis since) {
+  std::vector<DataCentreId> all;
+  for (const auto& [where, place] : places_) all.push_back(where);
+  for (const auto& it : all) Suspect(it, since);
+}
+
+bool Sounder::IsLost(const DataCentreId& where) const {
+  const auto found = places_.find(where);
+  return found != places_.end() && found->second.reach.lost;
+}
+
+bool Sounder::IsAlone() const {
+  return !places_.empty() &&
+         std::all_of(places_.begin(), places_.end(),
+                     [](auto& it) { return it.second.reach.lost; });
+}
+
+void Sounder::Sound(const DataCentreId& where) {
+  auto& place = places_[where];
+  engine::BeginSounding(&place.reach, loop_->now());
+  Try(where, place.peers);
+  loop_->At(loop_->now() + kServersAfter, [this, where] {
+    const auto& reach = places_[where].reach;
+    if (servers_ && reach.heard < reach.asked) Try(where, servers_(where));
+  });
+  loop_->At(loop_->now() + engine::kSounding, [this, where] { End(where); });
+}
+
+void Sounder::Try(const DataCentreId& where, const std::vector<Address>& some) {
+  size_t tried = 0;
+  for (const auto& it : some) {
+    if (++tried > kMostTried) return;
+    const auto channel = std::make_shared<HttpChannel>(loop_);
+    channel->Connect(it, engine::kSounding, [this, where, channel](bool ok) {
+      if (ok) NoteHeard(where);
+      channel->Close();
+    });
+  }
+}
+
+void Sounder::End(const DataCentreId& where) {
+  auto& reach = places_[where].reach;
+  const bool was_lost = reach.lost;
+  const auto end = engine::EndSounding(&reach, loop_->now());
+  if (end == engine::SoundingEnd::kThere) return;
+  if (reach.lost && !was_lost) {
+    Log(Part::kMembers).warn("data centre {} can't be reached", where.text);
+  }
+  Sound(where);
+}
+
+}  // namespace hibiscuspick::edge
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -26,16 +26,19 @@
 TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
-      backends_(loop, settings_.backends),
+      sounder_(loop, settings_.backends.choice.own_data_centre),
+      backends_(loop, settings_.backends, &sounder_),
       callers_(loop, CallersPolicy()),
       readiness_(loop, ReadinessPolicy()),
       queries_(loop, QueriesPolicy()),
-      peers_(loop),
+      peers_(loop, &sounder_),
       instances_(settings_.instances),
       early_(loop, settings_.names.deadline,
              [this](const auto& session, HttpRequest&& request) {
                OnRequest(session, std::move(request));
              }) {
+  sounder_.set_servers(
+      [this](const auto& where) { return backends_.AddressesIn(where); });
   context_.loop = loop;
   context_.backends = &backends_;
   context_.names = &settings_.names;
@@ -184,6 +187,10 @@
   if (config_) ShareOut();
 }
 
+void TrafficServer::SetSounded(const std::vector<engine::Peer>& peers) {
+  sounder_.SetPeers(peers);
+}
+
 // Connections and the slack of a budget are shared by those who send: all
 // instances, or for shards the senders of fan-outs. The others keep a little,
 // for the moments in which no sender is within reach.
--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -28,14 +28,20 @@
   return address;
 }
 
-// A listening socket on a free port.
-inline std::pair<int, uint16_t> ListenAnywhere() {
+// A listening socket on that port, or on a free one for 0.
+inline int ListenAt(uint16_t port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Loopback(0);
+  const sockaddr_in address = Loopback(port);
+  bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  listen(fd, 64);
+  return fd;
+}
+
+inline std::pair<int, uint16_t> ListenAnywhere() {
+  const int fd = ListenAt(0);
+  sockaddr_in address{};
   socklen_t n = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), n);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
-  listen(fd, 64);
   return {fd, ntohs(address.sin_port)};
 }
 
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -89,6 +89,11 @@
 // All other instances that are there.
 std::vector<Peer> PeersThere(const PeerTable& table, Millis now);
 
+// A few instances of each other data centre, by which an instance finds out
+// whether that can be reached: also those that were silent lately, since that
+// is the question.
+std::vector<Peer> SomeElsewhere(const PeerTable& table);
+
 // Who sends the many attempts of a fan-out. Up to kMostDirect instances: the
 // first of each data centre. Parts then wait for a server in one queue, in
 // order of their due instant, and not half of them in the server's own: each
--- /dev/null
+++ b/packages/engine/include/hibiscuspick/engine/place_reach.h
@@ -0,0 +1,56 @@
+// Whether another data centre can be reached, from what is heard of it and from
+// connections that are tried for nothing else ("soundings").
+//
+// A cut between data centres shows at single servers only one by one, each by
+// its own silence of 400 ms and a connection that hangs: callers of the side
+// that is cut off were refused for 1.5 to 2.6 s before its last instance told
+// the balancer, and the other side went on sending parts there. Asked for at
+// the first sign, it shows at all of them within 0.3 to 0.5 s.
+#pragma once
+
+#include "hibiscuspick/base/millis.h"
+
+namespace hibiscuspick::engine {
+
+// Nothing heard of a data centre for this long after a question is a sign. The
+// way there and back takes 2 to 6 ms; a pause of one server takes 100 to 250
+// ms, but the others there speak meanwhile.
+inline constexpr Millis kQuiet{100};
+
+// How long a sounding takes: a connection needs a way there and back, and an
+// instance that is short of processor hears of it late.
+inline constexpr Millis kSounding{200};
+
+// A sounding that is looked at this much after its end tells nothing: this
+// process stood still, and answers may wait unread.
+inline constexpr Millis kStoodStill{40};
+
+struct PlaceReach {
+  // When anything was heard from there.
+  Millis heard{-1};
+  // When the sounding under way began.
+  Millis asked{-1};
+  bool sounding = false;
+  // Nothing sent there arrives; true until something is heard.
+  bool lost = false;
+};
+
+// Something was heard; true if the place had been lost.
+bool NoteHeard(PlaceReach* reach, Millis now);
+
+// Whether a question sent at `since` and unanswered is reason to sound.
+bool WantsSounding(const PlaceReach& reach, Millis since, Millis now);
+
+void BeginSounding(PlaceReach* reach, Millis now);
+
+enum class SoundingEnd {
+  // Something was heard.
+  kThere,
+  // Nothing was, from any that was tried: the place is lost now, or still.
+  kLost,
+  // It has to be tried again.
+  kUnsure,
+};
+SoundingEnd EndSounding(PlaceReach* reach, Millis now);
+
+}  // namespace hibiscuspick::engine
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -134,6 +134,29 @@
   return there;
 }
 
+std::vector<Peer> SomeElsewhere(const PeerTable& table) {
+  constexpr size_t kSome = 3;
+  // Others for each asker: while a data centre is lost all ask, five times a
+  // second.
+  const auto rank = [&](const Peer& it) {
+    return Hash(table.own.text + it.id.text);
+  };
+  std::map<DataCentreId, std::vector<Peer>> places;
+  for (const auto& [id, peer] : table.peers) {
+    places[peer.data_centre].push_back(peer);
+  }
+  const auto own = table.peers.find(table.own);
+  if (own != table.peers.end()) places.erase(own->second.data_centre);
+  std::vector<Peer> some;
+  for (auto& [where, there] : places) {
+    std::sort(there.begin(), there.end(),
+              [&](auto& a, auto& b) { return rank(a) < rank(b); });
+    there.resize(std::min(there.size(), kSome));
+    some.insert(some.end(), there.begin(), there.end());
+  }
+  return some;
+}
+
 std::vector<Peer> FanOutSenders(const PeerTable& table, Millis now) {
   if (table.peers.size() <= kMostDirect) return FirstOfEach(table, now);
   double least = 1e9;
