Parts that nobody wants make room where others wait

Cause: a query that is answered at its target leaves late parts behind, up to two of twenty; they kept their slots for up to 350 ms, since a whole reply keeps the connection. While a shard had one server the next queries waited behind them. Change: where parts wait at the service, an abandoned attempt is ended at once. Test: edge AbandonedPartsMakeRoomForThoseThatWait, fails on the code before (3 of 3).

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -110,7 +110,7 @@
 
   // Nobody wants the result any more: no call follows. `stop_server`: the
   // server must not go on with it; otherwise it may end within a short time,
-  // which keeps the connection.
+  // which keeps the connection, unless others wait for the server.
   void Abandon(AttemptId id, bool stop_server);
 
   // Waits for room at the service's servers, in order of priority and due
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -10,8 +10,9 @@
 namespace hibiscuspick::edge {
 namespace {
 
-// An attempt that nobody waits for may end by itself within this; past it the
-// connection is given up for the slot behind it.
+// An attempt that nobody waits for may end by itself within this, which keeps
+// the connection and tells the server's speed; past it the connection is given
+// up for the slot behind it. 120 ms: -.0033 +- .0014 at skjv-oslo, 20 plays.
 constexpr Millis kAbandonedTime{350};
 
 // A service whose servers are all slow still does something.
@@ -263,7 +264,11 @@
   if (found == attempts_.end()) return;
   auto& attempt = *found->second;
   attempt.order.on_end = nullptr;
-  if (!stop_server) {
+  // Where parts wait for a slot, work that nobody wants takes it from them: two
+  // of twenty parts of each query that is answered at its target are such. A
+  // new connection costs less.
+  const auto& waiting = StateOf(attempt.server->belief.entry.service).waiting;
+  if (!stop_server && waiting.empty()) {
     // Its reply is still worth hearing: it tells the server's speed.
     attempt.order.on_end =
         [this, usual = attempt.order.usual](const AttemptResult& it) {
--- a/packages/edge/tests/gather_traffic_test.cc
+++ b/packages/edge/tests/gather_traffic_test.cc
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <set>
+#include <vector>
 
 #include "traffic_fixture.h"
 
@@ -174,5 +176,36 @@
   BOOST_TEST(HeaderIn(answer, "Retry-After") == "0.300");
 }
 
+// Queries are answered at their target without the parts of a shard that is
+// late, and its servers' slots are all taken by those parts, which nobody wants
+// any more. A caller that waits for one of the slots gets it at once, and not
+// when its time is up.
+BOOST_AUTO_TEST_CASE(AbandonedPartsMakeRoomForThoseThatWait) {
+  TrafficFixture fixture;
+  auto& plain = fixture.AddRoute("/p/");
+  plain.split = {{ServiceId("shard-1"), 1}};
+  plain.timeout = Millis(620);
+  AddGather(&fixture, 2, 0.5, [](size_t shard, int, auto& request) {
+    if (shard == 1 && request.starts_with("GET /g/")) {
+      return Scripted{.text = "", .silent = true};
+    }
+    return Part(shard, request);
+  });
+  std::vector<std::unique_ptr<RawClient>> queries;
+  for (int i = 0; i < 4; ++i) {
+    queries.push_back(std::make_unique<RawClient>(fixture.port()));
+    queries.back()->Say(
+        TrafficFixture::RequestText("GET /g/x", "Connection: close\r\n"));
+  }
+  const auto& servers = fixture.servers();
+  BOOST_TEST_REQUIRE(Eventually([&] {
+    return servers[2]->requests().size() + servers[3]->requests().size() == 4;
+  }));
+  BOOST_TEST(fixture.Ask("GET /p/x").starts_with("HTTP/1.1 200 "));
+  for (auto& it : queries) {
+    BOOST_TEST(it->Hear().starts_with("HTTP/1.1 200 "));
+  }
+}
+
 }  // namespace
 }  // namespace hibiscuspick::edge
