--- a/packages/edge/tests/restarted_servers_test.cc
+++ b/packages/edge/tests/restarted_servers_test.cc
@@ -18,17 +18,17 @@
   };
 }
 
-struct EarlierLifeRow {
+struct EarlierRow {
   const char* what;
-  // Makes the entry that of an earlier life.
+  // Makes the entry that of an earlier incarnation.
   std::function<void(engine::ServerEntry*)> change;
 };
 
-std::ostream& operator<<(std::ostream& out, const EarlierLifeRow& row) {
+std::ostream& operator<<(std::ostream& out, const EarlierRow& row) {
   return out << row.what;
 }
 
-const EarlierLifeRow kEarlierLives[] = {
+const EarlierRow kEarlier[] = {
     {"was leaving", [](auto* it) { it->draining = true; }},
     {"was of another service", [](auto* it) { it->service = ServiceId("t"); }},
     {"was at an address where nobody is now",
@@ -39,8 +39,7 @@
 // A backend server ends and starts again under the id that it had. The new one
 // holds nothing of before; were what is believed of the earlier one kept, it
 // would get no requests, though it is ready and nobody else serves them.
-BOOST_DATA_TEST_CASE(RestartedServersBeginClean, bdata::make(kEarlierLives),
-                     row) {
+BOOST_DATA_TEST_CASE(RestartedServersBeginClean, bdata::make(kEarlier), row) {
   TrafficFixture fixture;
   fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
   fixture.AddServer("s", Answers("here"));
@@ -58,10 +57,10 @@
   BOOST_TEST(answer.ends_with("here"));
 }
 
-// While a request is with the earlier life, the later one is listed. The answer
-// on the old connection is the caller's, and neither the connection nor what it
-// tells is taken for the later one's.
-BOOST_AUTO_TEST_CASE(AnswersOfAnEarlierLifeAreNoneOfTheLater) {
+// While a request is with the earlier incarnation, the later one is listed. The
+// answer on the old connection is the caller's, and neither the connection nor
+// what it tells is taken for the later one's.
+BOOST_AUTO_TEST_CASE(AnswersOfAnEarlierIncarnationAreNoneOfTheLater) {
   TrafficFixture fixture;
   fixture.AddRoute("/p/").split = {{ServiceId("s"), 1}};
   std::atomic<bool> go = false;
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -18,8 +18,8 @@
 struct ServerEntry {
   BackendServerId id;
   // A server may start again under its id, and then holds nothing of before:
-  // all that is believed of it belongs to one life. None where servers don't
-  // say.
+  // all that is believed of it belongs to one incarnation. None where servers
+  // don't say.
   Incarnation incarnation;
   ServiceId service;
   Address address;
