--- a/packages/engine/include/hibiscuspick/engine/place_reach.h
+++ b/packages/engine/include/hibiscuspick/engine/place_reach.h
@@ -5,7 +5,7 @@
 // its own silence of 400 ms and a connection that hangs: callers of the side
 // that is cut off were refused for 1.5 to 2.6 s before its last instance told
 // the balancer, and the other side went on sending parts there. Asked for at
-// the first sign, it shows at all of them within 0.3 to 0.5 s.
+// the first sign, it shows at all of them within 0.35 to 0.7 s.
 #pragma once
 
 #include "hibiscuspick/base/millis.h"
