A data centre that stays lost is sounded seldom

One that was taken down for good is still in the lists of instances; at the rate of a cut it would cost each instance thirty connections a second for ever. After ten seconds the pause grows by a twentieth of the time lost, to five seconds. Shorter cuts are sounded as before. Test: engine LongLossesAreSoundedSeldom.

--- a/packages/edge/src/sounder.cc
+++ b/packages/edge/src/sounder.cc
@@ -102,7 +102,10 @@
   if (reach.lost && !was_lost) {
     Log(Part::kMembers).warn("data centre {} can't be reached", where.text);
   }
-  Sound(where);
+  reach.sounding = true;
+  const Millis now = loop_->now();
+  loop_->At(now + engine::SoundingPause(reach, now),
+            [this, where] { Sound(where); });
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/engine/include/hibiscuspick/engine/place_reach.h
+++ b/packages/engine/include/hibiscuspick/engine/place_reach.h
@@ -33,6 +33,8 @@
   bool sounding = false;
   // Nothing sent there arrives; true until something is heard.
   bool lost = false;
+  // Since when, while it is.
+  Millis lost_since{-1};
 };
 
 // Something was heard; true if the place had been lost.
@@ -53,4 +55,10 @@
 };
 SoundingEnd EndSounding(PlaceReach* reach, Millis now);
 
+// How long to wait before the next sounding. None in the first seconds of a
+// cut, so that its end shows at once; a data centre that was taken down for
+// good, whose instances' entries stay in the store, costs a try in five
+// seconds.
+Millis SoundingPause(const PlaceReach& reach, Millis now);
+
 }  // namespace hibiscuspick::engine
--- a/packages/engine/tests/place_reach_test.cc
+++ b/packages/engine/tests/place_reach_test.cc
@@ -70,5 +70,32 @@
   BOOST_TEST(reach.lost);
 }
 
+struct PauseRow {
+  double lost_for;
+  double least;
+  double most;
+};
+
+std::ostream& operator<<(std::ostream& out, const PauseRow& row) {
+  return out << row.lost_for;
+}
+
+const PauseRow kPauses[] = {
+    {0, 0, 0}, {8000, 0, 0}, {60000, 1000, 5000}, {86400000, 5000, 5000}};
+
+// A data centre that was taken down for good is still in the lists of
+// instances. Sounded at the rate of a cut, it would cost each instance thirty
+// connections a second for ever.
+BOOST_DATA_TEST_CASE(LongLossesAreSoundedSeldom, bdata::make(kPauses), row) {
+  PlaceReach reach;
+  BeginSounding(&reach, Millis(1000));
+  EndSounding(&reach, Millis(1200));
+  BeginSounding(&reach, Millis(1200));
+  EndSounding(&reach, Millis(1400));
+  const Millis pause = SoundingPause(reach, Millis(1200 + row.lost_for));
+  BOOST_TEST(pause.count >= row.least);
+  BOOST_TEST(pause.count <= row.most);
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
