--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -18,6 +18,7 @@
 #include "hibiscuspick/engine/extra_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/server_belief.h"
+#include "hibiscuspick/settings/mechanisms.h"
 
 namespace hibiscuspick::edge {
 
@@ -65,6 +66,7 @@
 
 struct BackendsPolicy {
   engine::ChoicePolicy choice;
+  settings::Mechanisms mechanisms;
   // Of the budget of extra attempts; its slack is each service's own.
   engine::ExtraLimits extra;
   Millis connect_timeout{300};
@@ -146,7 +148,9 @@
   // server elsewhere is heard, or for kToldCutOff: an instance that hands its
   // queries over finds out for itself only after many of its callers have been
   // refused.
-  void NoteToldCutOff() { told_cut_off_ = loop_->now(); }
+  void NoteToldCutOff() {
+    if (policy_.mechanisms.told_cut_off) told_cut_off_ = loop_->now();
+  }
   bool IsToldCutOff() const;
 
   // A server said that its address is now another's.
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -162,6 +162,9 @@
     std::optional<HttpReply> failure;
   };
 
+  const settings::Mechanisms& Uses() const {
+    return context_->backends->policy().mechanisms;
+  }
   void ReadClocks();
   void StartPart(size_t i);
   // False if the query was answered at once.
--- a/packages/edge/include/hibiscuspick/edge/sounder.h
+++ b/packages/edge/include/hibiscuspick/edge/sounder.h
@@ -22,7 +22,9 @@
  public:
   using AddressesOf = std::function<std::vector<Address>(const DataCentreId&)>;
 
-  Sounder(Loop* loop, DataCentreId own) : loop_(loop), own_(std::move(own)) {}
+  // `active`: a switch, see settings::Mechanisms.
+  Sounder(Loop* loop, DataCentreId own, bool active = true)
+      : loop_(loop), own_(std::move(own)), active_(active) {}
 
   // `peers`: some instances of each data centre.
   void SetPeers(const std::vector<engine::Peer>& peers);
@@ -59,6 +61,7 @@
 
   Loop* const loop_;
   const DataCentreId own_;
+  const bool active_;
   AddressesOf servers_;
   std::map<DataCentreId, Place> places_;
   Millis heard_elsewhere_{-1};
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -122,7 +122,8 @@
   const Millis now = loop_->now();
   auto choice = policy_.choice;
   choice.most_open = std::min(choice.most_open, state.max_channels);
-  if (!HasExtra(order.budget_of, engine::kKeptForNeed)) {
+  if (policy_.mechanisms.dearer_failing &&
+      !HasExtra(order.budget_of, engine::kKeptForNeed)) {
     choice.failure_cost = choice.unpaid_failure_cost;
   }
   std::vector<const engine::ServerBelief*> beliefs;
@@ -268,7 +269,9 @@
   // of twenty parts of each query that is answered at its target are such. A
   // new connection costs less.
   const auto& waiting = StateOf(attempt.server->belief.entry.service).waiting;
-  if (!stop_server && waiting.empty()) {
+  const bool in_the_way =
+      policy_.mechanisms.room_from_abandoned && !waiting.empty();
+  if (!stop_server && !in_the_way) {
     // Its reply is still worth hearing: it tells the server's speed.
     attempt.order.on_end =
         [this, usual = attempt.order.usual](const AttemptResult& it) {
--- a/packages/edge/src/backends_queue.cc
+++ b/packages/edge/src/backends_queue.cc
@@ -13,8 +13,9 @@
 }  // namespace
 
 WaitKey Backends::Enqueue(const ServiceId& service, Waiting waiting) {
-  const WaitKey key{waiting.behind || waiting.due < loop_->now(),
-                    waiting.due.count, waiting.priority, ++last_wait_};
+  const bool late = waiting.behind || waiting.due < loop_->now();
+  const WaitKey key{policy_.mechanisms.late_behind && late, waiting.due.count,
+                    waiting.priority, ++last_wait_};
   StateOf(service).waiting.emplace(key, std::move(waiting));
   PumpSoon(service);
   return key;
@@ -37,6 +38,7 @@
 // Puts those whose time has passed behind those that can still be on time.
 // They are served from what is left, and in the end refused or answered late.
 void Backends::DemoteLate(ServiceState* state) {
+  if (!policy_.mechanisms.late_behind) return;
   auto& waiting = state->waiting;
   while (!waiting.empty()) {
     const auto first = waiting.begin();
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -19,8 +19,8 @@
 std::vector<size_t> QueryRun::RelayParts(const std::vector<size_t>& asked) {
   auto* peers = context_->peers;
   const Millis left = clocks_.answer_at - began_;
-  if (peers == nullptr || !route_->gather || !places_.empty() ||
-      left - context_->relay_lag.high < kLeastRelayTime) {
+  if (!Uses().relays || peers == nullptr || !route_->gather ||
+      !places_.empty() || left - context_->relay_lag.high < kLeastRelayTime) {
     return asked;
   }
   std::vector<std::vector<DataCentreId>> places(parts_.size());
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -31,6 +31,7 @@
   // What was never sent costs the servers nothing and is no extra attempt.
   const bool extra = ran || part.refusals > 0;
   const bool needed =
+      !Uses().needed_retries ||
       engine::NeedsRetry(parts_.size(), FailedParts(), Progress().needed);
   const Extra kind = !extra   ? Extra::kNone
                      : needed ? Extra::kNeeded
@@ -48,7 +49,8 @@
 bool QueryRun::MayHedge(const Part& part) const {
   // A peer that asks for some parts sends each to one server: the whole query's
   // owner counts that one against the route's attempts, and may send the rest.
-  return places_.empty() && route_->repeat == engine::Repeat::kIdempotent &&
+  return Uses().hedging && places_.empty() &&
+         route_->repeat == engine::Repeat::kIdempotent &&
          route_->attempts > 1 && part.open.size() == 1 &&
          part.ran_on.size() < static_cast<size_t>(route_->attempts);
 }
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -68,7 +68,10 @@
       handed_ ? *handed_ : ClocksFor(*context_, *route_, pace_, request_);
   returning_ = clocks.returning;
   clocks_.end_at = began_ + Min(clocks.end_in, route_->timeout);
-  clocks_.answer_at = began_ + clocks.answer_in - context_->answer_lag.high;
+  clocks_.answer_at = began_ + clocks.answer_in;
+  if (Uses().answer_lag) {
+    clocks_.answer_at = clocks_.answer_at - context_->answer_lag.high;
+  }
 }
 
 void QueryRun::Start(const std::vector<ServiceId>& services, OnDone on_done) {
@@ -96,17 +99,17 @@
   const Millis to_target = clocks_.answer_at - began_;
   const auto admission = engine::Admit(
       outlooks, needed, {to_target, clocks_.end_at - began_, returning_});
-  if (!admission.admitted && places_.empty()) {
+  if (Uses().whole_query_refusal && !admission.admitted && places_.empty()) {
     retry_after_ = admission.retry_after;
     refused_by_ = admission.decisive;
     Fail(QueryFault::kOverloaded);
     return false;
   }
   behind_ = admission.behind;
-  const auto plan =
-      engine::PlanFanOut(outlooks, needed, to_target,
-                         // A peer that asked for parts wants all of them.
-                         places_.empty() ? kDeferShare : kNeverDefer);
+  // A peer that asked for parts wants all of them.
+  const bool keeps_back = Uses().kept_back_shards && places_.empty();
+  const auto plan = engine::PlanFanOut(outlooks, needed, to_target,
+                                       keeps_back ? kDeferShare : kNeverDefer);
   if (!plan.possible) {
     Fail(QueryFault::kNoServer);
     return false;
@@ -148,7 +151,8 @@
   auto& part = parts_[i];
   auto& backends = *context_->backends;
   const Millis now = context_->loop->now();
-  const double reserve = extra == Extra::kOptional ? engine::kKeptForNeed : 0;
+  const bool reserves = Uses().hedge_reserve && extra == Extra::kOptional;
+  const double reserve = reserves ? engine::kKeptForNeed : 0;
   const bool is_extra = extra != Extra::kNone;
   if (is_extra && !backends.HasExtra(budget_of_, reserve)) return false;
   AttemptOrder order = OrderFor(i);
--- a/packages/edge/src/sounder.cc
+++ b/packages/edge/src/sounder.cc
@@ -49,7 +49,7 @@
 }
 
 void Sounder::Suspect(const DataCentreId& where, Millis since) {
-  if (where == own_) return;
+  if (where == own_ || !active_) return;
   const auto& place = places_[where];
   if (engine::WantsSounding(place.reach, since, loop_->now())) Sound(where);
 }
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -26,7 +26,8 @@
 TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
-      sounder_(loop, settings_.backends.choice.own_data_centre),
+      sounder_(loop, settings_.backends.choice.own_data_centre,
+               settings_.backends.mechanisms.soundings),
       backends_(loop, settings_.backends, &sounder_),
       callers_(loop, CallersPolicy()),
       readiness_(loop, ReadinessPolicy()),
@@ -125,7 +126,7 @@
 }
 
 Result<Done> TrafficServer::Listen() {
-  early_.Begin();
+  if (settings_.backends.mechanisms.early_requests) early_.Begin();
   MeasureDelay();
   AddGauges();
   auto listened = callers_.Listen(settings_.callers);
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -36,6 +36,8 @@
     int failures = 0;
   };
   std::map<InstanceId, Silence> silent;
+  // A switch, see settings::Mechanisms.
+  bool few_senders = true;
 };
 
 // Up to this many instances each one watches the store itself. Measured with 6
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -100,6 +100,10 @@
   // The first pause after a failure, doubled for each in a row.
   Millis first_avoidance{25};
   Millis longest_avoidance{1000};
+  // Switches, see settings::Mechanisms.
+  bool learned_slowness = true;
+  bool adapted_limit = true;
+  bool pause_belief = true;
 };
 
 // Attempts that may be open there now: the limit, rounded, within the policy.
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -158,6 +158,7 @@
 }
 
 std::vector<Peer> FanOutSenders(const PeerTable& table, Millis now) {
+  if (!table.few_senders) return {};
   if (table.peers.size() <= kMostDirect) return FirstOfEach(table, now);
   double least = 1e9;
   double most = 0;
--- a/packages/engine/src/server_belief.cc
+++ b/packages/engine/src/server_belief.cc
@@ -77,6 +77,7 @@
 double SlownessNow(const ServerBelief& server, const ChoicePolicy& policy,
                    Millis now) {
   const double warmup = now < server.warm_at ? kWarmupFactor : 1;
+  if (!policy.learned_slowness) return warmup;
   return SlownessLeft(server, policy, now) * warmup;
 }
 
@@ -98,6 +99,7 @@
 
 void AdaptLimit(ServerBelief* server, double latency_factor,
                 const ChoicePolicy& policy, Millis now) {
+  if (!policy.adapted_limit) return;
   if (latency_factor < kEasyLatency) {
     server->limit = std::min(server->limit + kLimitStep,
                              static_cast<double>(policy.most_open));
@@ -118,7 +120,9 @@
     cost += policy.remote_cost;
   }
   cost += usual * (policy.failure_cost * FailingNow(server, policy, now));
-  if (IsSuspected(server, now)) cost += policy.suspected_cost;
+  if (policy.pause_belief && IsSuspected(server, now)) {
+    cost += policy.suspected_cost;
+  }
   return cost;
 }
 
--- a/packages/settings/include/hibiscuspick/settings/edge_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -11,6 +11,7 @@
 #include "hibiscuspick/base/log.h"
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/settings/faults.h"
+#include "hibiscuspick/settings/mechanisms.h"
 
 namespace hibiscuspick::settings {
 
@@ -38,6 +39,9 @@
   // From the stop signal until the process is ended by force.
   Millis grace{6000};
 
+  // For experiments.
+  Mechanisms mechanisms;
+
   std::string log_level = "info";
   LogFormat log_format = LogFormat::kJson;
 };
--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -40,6 +40,16 @@
   reader.RefuseUnknown();
 }
 
+void ReadPolicy(JsonReader* edge, EdgeSettings* out,
+                std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "policy"), "$.edge.policy", faults);
+  for (const auto& it : kMechanismNames) {
+    bool& value = out->mechanisms.*it.field;
+    value = reader.Flag(std::string(it.name), value);
+  }
+  reader.RefuseUnknown();
+}
+
 void ReadEdge(JsonReader* root, EdgeSettings* out, std::vector<Fault>* faults) {
   JsonReader reader(Section(root, "edge"), "$.edge", faults);
   out->callers = reader.IpAddress("callers");
@@ -51,6 +61,7 @@
   out->processor =
       ReadFraction(&reader, "processor", kMostCores, out->processor);
   ReadExtra(&reader, out, faults);
+  ReadPolicy(&reader, out, faults);
   out->instances =
       static_cast<int>(reader.Integer("instances", {1, 10000}, out->instances));
   out->grace = ReadMillis(&reader, "grace_ms", {1000, kHour}, out->grace);
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -33,6 +33,20 @@
   BOOST_TEST(!IsEdgeSettings("{\"edge\": {"));
 }
 
+// Every mechanism is on unless the file says otherwise, each by its own name.
+BOOST_AUTO_TEST_CASE(MechanismsAreOnUnlessSwitchedOff) {
+  for (const auto& off : kMechanismNames) {
+    Json file = Good();
+    file["edge"]["policy"][std::string(off.name)] = false;
+    const auto checked = ReadEdgeSettings(file.dump());
+    BOOST_TEST_REQUIRE(IsGood(checked));
+    for (const auto& it : kMechanismNames) {
+      const bool expected = it.name != off.name;
+      BOOST_TEST((GoodOf(checked).mechanisms.*it.field) == expected);
+    }
+  }
+}
+
 struct BadRow {
   const char* pointer;
   Json value;
@@ -54,6 +68,8 @@
     {"/edge/instances", 0, "$.edge.instances"},
     {"/edge/extra_attempts/ratio", -1, "$.edge.extra_attempts.ratio"},
     {"/edge/extra_attempts/slck", 1, "$.edge.extra_attempts.slck"},
+    {"/edge/policy/hedgin", false, "$.edge.policy.hedgin"},
+    {"/edge/policy/hedging", 0, "$.edge.policy.hedging"},
     {"/edge/log", Json{{"level", "loud"}}, "$.edge.log.level"},
 };
 
--- a/packages/settings/tests/settings_page_test.cc
+++ b/packages/settings/tests/settings_page_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "hibiscuspick/settings/daemon_settings.h"
+#include "hibiscuspick/settings/edge_settings.h"
 #include "hibiscuspick/settings/settings_tree.h"
 
 namespace hp = hibiscuspick;
@@ -82,3 +83,23 @@
       [](const std::string&) { return std::string("from the environment"); });
   BOOST_TEST(IsGood(result), hps::ToText(hps::FaultsOf(result)));
 }
+
+BOOST_AUTO_TEST_CASE(the_page_names_each_switch_for_experiments) {
+  const std::string page = Page();
+  for (const auto& it : hps::kMechanismNames) {
+    const std::string row = "\n| `" + std::string(it.name) + "` | ";
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+  }
+}
+
+// The example leaves one out; all the rest of it is checked as ever.
+BOOST_AUTO_TEST_CASE(the_pages_file_of_an_edge_instance_is_a_good_one) {
+  const std::string page = Page();
+  const std::string fence = "```jsonc\n";
+  const size_t begin = page.find(fence, page.find("## The file of an edge"));
+  BOOST_REQUIRE(begin != std::string::npos);
+  const size_t start = begin + fence.size();
+  const auto result = hps::ReadEdgeSettings(
+      page.substr(start, page.find("```", start) - start));
+  BOOST_TEST(IsGood(result), hps::ToText(hps::FaultsOf(result)));
+}
