--- a/packages/edge/include/hibiscuspick/edge/loop.h
+++ b/packages/edge/include/hibiscuspick/edge/loop.h
@@ -46,6 +46,10 @@
   // Runs `task` soon; from any thread.
   void Post(Task task) { boost::asio::post(io_, std::move(task)); }
 
+  // The share of the time since the last call in which the loop was at work,
+  // and not waiting; from the loop's thread.
+  double TakeBusyShare();
+
   // Serves until Stop.
   void Run();
   void Stop();
@@ -57,7 +61,8 @@
     bool operator>(const Due& it) const { return when > it.when; }
   };
 
-  Millis UntilNext();
+  // How long to wait at that instant.
+  Millis UntilNext(Millis at);
   void RunDue();
 
   boost::asio::io_context io_{1};
@@ -66,6 +71,9 @@
   std::atomic<bool> stopped_{false};
   mutable Millis now_;
   mutable bool now_read_ = false;
+  // Since when, and for how long since then, the loop was at work.
+  Millis counted_from_ = SteadyNow();
+  Millis at_work_;
   TimerId last_id_ = 0;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::unordered_map<TimerId, Task> tasks_;
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -36,6 +36,9 @@
 // In every answer to a peer: how long the peer had the query.
 inline constexpr std::string_view kTookHeader = "Hp-Took-Ms";
 
+// In every answer to a peer: the share of its time that the peer is at work.
+inline constexpr std::string_view kBusyHeader = "Hp-Busy";
+
 // Takes what a hop cost beside the peer's own time from the peer's answer.
 void NoteHop(const HttpReply& reply, Millis sent_at, engine::LagMeter* lag);
 
@@ -70,6 +73,10 @@
                 const std::vector<engine::Peer>& relays);
   const std::vector<engine::Peer>& senders() const { return senders_; }
   bool IsSender() const;
+  // Whether it is the first of its data centre's senders.
+  bool IsFirstSender() const;
+  // The share of its time that this instance is at work.
+  void SetOwnBusy(double share) { own_busy_ = share; }
 
   // The peer that a query over shards in these data centres goes to; nullptr if
   // this instance sends it itself.
@@ -99,6 +106,9 @@
  private:
   struct Open;
   bool IsAvoided(const InstanceId& peer) const;
+  // What a sender has said of late; one that said nothing isn't known to be.
+  double BusyShare(const InstanceId& peer) const;
+  void NoteBusy(const InstanceId& peer, const HttpReply& reply);
   bool TakesParts(const engine::Peer& peer, const DataCentreId& where) const;
   void SendOn(const std::shared_ptr<Open>& open);
   void SuspectLater(const std::shared_ptr<Open>& open, Millis due);
@@ -116,6 +126,12 @@
   // Peers that could not be reached, until when they get nothing.
   std::map<InstanceId, Millis> avoided_;
   std::map<DataCentreId, engine::RelayHealth> health_;
+  struct Busy {
+    double share = 0;
+    Millis said;
+  };
+  std::map<InstanceId, Busy> busy_;
+  double own_busy_ = 0;
   size_t turn_ = 0;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -23,6 +23,7 @@
 #include "hibiscuspick/edge/request_log.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/route_pace.h"
+#include "hibiscuspick/engine/sender_shares.h"
 #include "hibiscuspick/engine/traffic_config.h"
 
 namespace hibiscuspick::edge {
@@ -123,6 +124,8 @@
   PeerSender peers_;
   QueryMetrics metrics_;
   size_t instances_;
+  // Of the last half second.
+  double busy_share_ = 0;
   // What handing a query over costs in time, beside the peer's own, within the
   // data centre and to another. The first guess is a way and a half.
   engine::LagMeter near_lag_{Millis(4)};
--- a/packages/edge/src/loop.cc
+++ b/packages/edge/src/loop.cc
@@ -23,10 +23,10 @@
 
 void Loop::Cancel(TimerId id) { tasks_.erase(id); }
 
-Millis Loop::UntilNext() {
+Millis Loop::UntilNext(Millis at) {
   while (!due_.empty() && !tasks_.contains(due_.top().id)) due_.pop();
   if (due_.empty()) return kLongestWait;
-  return Min(kLongestWait, due_.top().when - SteadyNow());
+  return Min(kLongestWait, due_.top().when - at);
 }
 
 void Loop::RunDue() {
@@ -44,7 +44,11 @@
 
 void Loop::Run() {
   while (!stopped_) {
-    const Millis wait = UntilNext();
+    // The round that ends here began at now().
+    const Millis began = now();
+    const Millis ended = SteadyNow();
+    at_work_ += ended - began;
+    const Millis wait = UntilNext(ended);
     now_read_ = false;
     if (wait > Millis(0)) io_.run_one_for(wait.ToMicros());
     // Bounded, so that a flood of work can't keep timers from their turn.
@@ -54,6 +58,14 @@
   }
 }
 
+double Loop::TakeBusyShare() {
+  const Millis span = SteadyNow() - counted_from_;
+  const double share = span > Millis(0) ? at_work_.count / span.count : 0;
+  counted_from_ = counted_from_ + span;
+  at_work_ = Millis(0);
+  return share;
+}
+
 void Loop::Stop() {
   stopped_ = true;
   Post([] {});
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -26,6 +26,9 @@
 // After this it is a sign that its data centre, or this one, is cut off.
 constexpr Millis kLateAnswer{20};
 
+// What a sender said of its work holds for so long: then it is tried again.
+constexpr Millis kBusyHolds{1000};
+
 constexpr size_t kAnswerBytes = 16 << 20;
 
 std::optional<int64_t> NumberIn(const std::vector<Header>& headers,
@@ -164,13 +167,17 @@
 
 const engine::Peer* PeerSender::RelayIn(const DataCentreId& where) {
   if (!HasRelayIn(where)) return nullptr;
-  const size_t n = relays_.size();
-  ++turn_;
-  for (size_t i = 0; i < n; ++i) {
-    const auto& it = relays_[(turn_ + i) % n];
-    if (TakesParts(it, where)) return &it;
+  std::vector<const engine::Peer*> there;
+  for (const auto& it : relays_) {
+    if (TakesParts(it, where)) there.push_back(&it);
   }
-  return nullptr;
+  // Senders stand in order of rank, and the first of them knows most of its
+  // data centre's servers; others are all alike.
+  if (senders_.empty()) return there[++turn_ % there.size()];
+  const auto idle = std::find_if(there.begin(), there.end(), [&](auto* it) {
+    return BusyShare(it->id) < engine::kBusySender;
+  });
+  return idle != there.end() ? *idle : there.front();
 }
 
 bool PeerSender::IsSender() const {
@@ -178,6 +185,27 @@
                              [&](auto& it) { return it.id == own_->id; });
 }
 
+bool PeerSender::IsFirstSender() const {
+  if (!own_) return false;
+  const auto first = engine::FirstSenders(senders_);
+  return std::any_of(first.begin(), first.end(),
+                     [&](auto& it) { return it.id == own_->id; });
+}
+
+double PeerSender::BusyShare(const InstanceId& peer) const {
+  if (own_ && peer == own_->id) return own_busy_;
+  const auto known = busy_.find(peer);
+  const bool holds =
+      known != busy_.end() && loop_->now() - known->second.said < kBusyHolds;
+  return holds ? known->second.share : 0;
+}
+
+void PeerSender::NoteBusy(const InstanceId& peer, const HttpReply& reply) {
+  const std::string said(FindHeader(reply.headers, kBusyHeader));
+  if (said.empty()) return;
+  busy_[peer] = {std::strtod(said.c_str(), nullptr), loop_->now()};
+}
+
 const engine::Peer* PeerSender::Choose(
     const std::vector<DataCentreId>& places) {
   if (!own_ || senders_.empty()) return nullptr;
@@ -187,7 +215,9 @@
       there.push_back(it);
     }
   }
-  const auto* chosen = engine::SenderFor(there, *own_, places, ++turn_);
+  const auto* chosen =
+      engine::SenderFor(there, *own_, places, ++turn_,
+                        [this](const auto& it) { return BusyShare(it); });
   if (chosen == nullptr) return nullptr;
   const auto found =
       std::find_if(senders_.begin(), senders_.end(),
@@ -281,6 +311,7 @@
       return;
     }
     heard_[open->peer.id] = loop_->now();
+    NoteBusy(open->peer.id, reply);
     sounder_->NoteHeard(open->peer.data_centre);
     if (open->channel->IsIdle()) idle_[open->peer.id].push_back(open->channel);
     if (reply.status == kOutOfReach) Avoid(open->peer.id);
--- a/packages/edge/src/traffic_handover.cc
+++ b/packages/edge/src/traffic_handover.cc
@@ -90,7 +90,7 @@
     HttpReply answer = reply;
     answer.headers = EndToEnd(reply.headers);
     std::erase_if(answer.headers, [](const Header& it) {
-      return SameName(it.name, kTookHeader);
+      return SameName(it.name, kTookHeader) || SameName(it.name, kBusyHeader);
     });
     session->Reply(answer);
     return;
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -142,6 +142,8 @@
   const Millis due = SteadyNow() + kDelayInterval;
   loop_->At(due, [this, due] {
     metrics_.ObserveDelay(SteadyNow() - due);
+    busy_share_ = loop_->TakeBusyShare();
+    peers_.SetOwnBusy(busy_share_);
     MeasureDelay();
   });
 }
@@ -193,24 +195,27 @@
 }
 
 // Connections and the slack of a budget are shared by those who send: all
-// instances, or for shards the senders of fan-outs. The others keep a little,
-// for the moments in which no sender is within reach.
+// instances, or for shards the senders of fan-outs.
 void TrafficServer::ShareOut() {
-  constexpr double kSendersPart = 0.8;
-  const auto n = static_cast<double>(instances_);
-  const auto senders = static_cast<double>(peers_.senders().size());
-  const double part = senders == 0        ? 1 / n
-                      : peers_.IsSender() ? kSendersPart / senders
-                                          : (1 - kSendersPart) / n;
+  const engine::SharePlan plan{instances_, peers_.senders().size(),
+                               engine::FirstSenders(peers_.senders()).size()};
+  const auto role = peers_.IsFirstSender() ? engine::SenderRole::kFirst
+                    : peers_.IsSender()    ? engine::SenderRole::kStandIn
+                                           : engine::SenderRole::kNone;
+  const auto shares = engine::SharesOf(plan, role);
+  const auto all_alike =
+      engine::SharesOf({instances_, 0, 0}, engine::SenderRole::kNone);
   std::set<ServiceId> shards;
   for (const auto& route : config_->routes) {
     if (!route.gather) continue;
     shards.insert(route.gather->shards.begin(), route.gather->shards.end());
   }
   for (const auto& [id, service] : config_->services) {
-    const double share = shards.contains(id) ? part : 1 / n;
-    backends_.SetShare(id, static_cast<int>(service.max_connections * share),
-                       settings_.extra_slack * share);
+    const bool is_shard = shards.contains(id);
+    const auto& share = is_shard ? shares : all_alike;
+    backends_.SetShare(
+        id, static_cast<int>(service.max_connections * share.connections),
+        settings_.extra_slack * share.slack);
   }
 }
 
@@ -317,6 +322,8 @@
           }
           answer.headers.push_back({std::string(kTookHeader),
                                     fmt::format("{:.2f}", outcome.took.count)});
+          answer.headers.push_back(
+              {std::string(kBusyHeader), fmt::format("{:.2f}", busy_share_)});
           session->Reply(answer);
         } else {
           session->Reply(outcome.reply);
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -40,9 +40,8 @@
   bool few_senders = true;
 };
 
-// Up to this many instances each one watches the store itself. Measured with 6
-// and 9: 0.01 of a day's worth in priced calls, less than news a step later
-// could cost; with 69 it is 0.19.
+// Up to this many instances each one watches the store itself: the calls are
+// few, and no news comes a step later.
 inline constexpr size_t kMostDirect = 12;
 
 // How long an instance waits before it lists all again. A list holds some 190
@@ -50,8 +49,7 @@
 // bytes grow with the square of the fleet. From kListedOften instances on the
 // pause grows instead, so that a list costs an instance 3 KB a second at any
 // size; with 460 a newcomer is known to all within half a minute, and meanwhile
-// serves, asks the others and is only not handed anything. Measured with real
-// processes: 8.9 KB/s for each of 210 at 4 s, see docs/CAPACITY.md.
+// serves, asks the others and is only not handed anything.
 inline constexpr size_t kListedOften = 64;
 Millis ListPause(size_t instances);
 
@@ -64,30 +62,6 @@
 std::vector<Peer> Ranking(const PeerTable& table, const DataCentreId& where,
                           Millis now);
 
-// Where an instance hears of configuration and servers.
-struct NewsSources {
-  // Watches the store itself.
-  bool store = false;
-  // Asks these peers, each for all news.
-  std::vector<Peer> peers;
-};
-
-// With few instances all watch. Else the first of each data centre watches; the
-// second asks it and a first elsewhere; all others ask these two. So one
-// watcher that is cut off from the store without knowing it keeps nobody
-// uninformed, and each data centre has its own news while it is cut off.
-NewsSources SourcesOf(const PeerTable& table, Millis now);
-
-// Whom an instance asks that watches the store itself and hears nothing from
-// it: another one of its data centre and one elsewhere. A store may turn away
-// some instances only, or be cut off from them; what the others hear is as
-// good.
-//
-// Answers: two of six instances were turned away for nine seconds. They went on
-// sending to servers that the others had dropped, by a configuration five
-// versions old.
-std::vector<Peer> HelpersOf(const PeerTable& table, Millis now);
-
 // All other instances that are there.
 std::vector<Peer> PeersThere(const PeerTable& table, Millis now);
 
@@ -108,18 +82,33 @@
 // instead of 0.70.
 //
 // More instances: those with the most processor, if they have kAbler times that
-// of the weakest. A fan-out to 90 shards takes 4 ms of processor time, 33 ms on
-// an eighth of a core and 8 ms on half of one; and the servers' connections are
-// shared by few.
+// of the weakest, those of a data centre in order of rank. A fan-out to 90
+// shards takes 4 ms of processor time, 33 ms on an eighth of a core and 8 ms on
+// half of one; and the servers' connections are shared by few.
 std::vector<Peer> FanOutSenders(const PeerTable& table, Millis now);
 
-// The sender that this instance hands a query to; nullptr if it sends itself.
-// `turn` spreads queries over senders that are equally near. A sender in a data
-// centre that has servers of the shards is preferred: parts then cross no line
-// between data centres, only the merged answer does.
+// The first sender of each data centre; the others stand in for it.
+std::vector<Peer> FirstSenders(const std::vector<Peer>& senders);
+
+// A sender that is at work for more of its time than this leaves further
+// queries to others: beyond it they begin to wait for each other.
+inline constexpr double kBusySender = 0.5;
+
+// The sender that this instance hands a query to; nullptr if it sends itself. A
+// sender in a data centre that has servers of the shards is preferred: parts
+// then cross no line between data centres, only the merged answer does. Of
+// those that are equally near the first of its data centre gets all until
+// `busy`, the share of its time that it said to be at work, is too much: who
+// sends all queries meets each server so often that it knows of a pause or a
+// slow one in time for the next query. `turn` spreads queries over data centres
+// that are equally near.
+//
+// Answers: 15 senders of 48 queries a second, each of which meets a server
+// three times a second while its pauses last a quarter of one.
 const Peer* SenderFor(const std::vector<Peer>& senders, const Peer& own,
                       const std::vector<DataCentreId>& shard_places,
-                      size_t turn);
+                      size_t turn,
+                      const std::function<double(const InstanceId&)>& busy);
 
 // Parts of one query that a peer elsewhere asks for, near their servers, and
 // merges before anything crosses the line between data centres.
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -33,19 +33,6 @@
   return {all.begin(), all.end()};
 }
 
-// The first of the next data centre, in the order of names, that has one.
-std::vector<Peer> FirstElsewhere(const PeerTable& table,
-                                 const DataCentreId& own, Millis now) {
-  const auto all = DataCentres(table);
-  const auto here = std::find(all.begin(), all.end(), own);
-  const auto at = static_cast<size_t>(here - all.begin());
-  for (size_t i = 1; i < all.size(); ++i) {
-    const auto ranking = Ranking(table, all[(at + i) % all.size()], now);
-    if (!ranking.empty()) return {ranking[0]};
-  }
-  return {};
-}
-
 // The first in rank of each data centre.
 std::vector<Peer> FirstOfEach(const PeerTable& table, Millis now) {
   std::vector<Peer> first;
@@ -56,6 +43,27 @@
   return first;
 }
 
+// The senders in the own data centre, if that has servers of the shards, or
+// else in those that do.
+std::vector<const Peer*> Nearest(const std::vector<Peer>& senders,
+                                 const Peer& own,
+                                 const std::vector<DataCentreId>& places) {
+  const auto rank = [&](const Peer& it) {
+    const bool holds =
+        places.empty() ||
+        std::find(places.begin(), places.end(), it.data_centre) != places.end();
+    if (!holds) return 2;
+    return it.data_centre == own.data_centre ? 0 : 1;
+  };
+  int best = 2;
+  for (const auto& it : senders) best = std::min(best, rank(it));
+  std::vector<const Peer*> nearest;
+  for (const auto& it : senders) {
+    if (rank(it) == best) nearest.push_back(&it);
+  }
+  return nearest;
+}
+
 }  // namespace
 
 void NoteSilent(PeerTable* table, const InstanceId& peer, Millis now) {
@@ -92,40 +100,6 @@
   return ranking;
 }
 
-NewsSources SourcesOf(const PeerTable& table, Millis now) {
-  NewsSources sources;
-  const auto own = table.peers.find(table.own);
-  sources.store = own == table.peers.end() || table.peers.size() <= kMostDirect;
-  if (sources.store) return sources;
-  const auto ranking = Ranking(table, own->second.data_centre, now);
-  if (ranking[0].id == table.own) {
-    sources.store = true;
-    return sources;
-  }
-  sources.peers = {ranking[0]};
-  if (ranking[1].id != table.own) {
-    sources.peers.push_back(ranking[1]);
-    return sources;
-  }
-  for (auto& it : FirstElsewhere(table, own->second.data_centre, now)) {
-    sources.peers.push_back(std::move(it));
-  }
-  return sources;
-}
-
-std::vector<Peer> HelpersOf(const PeerTable& table, Millis now) {
-  const auto own = table.peers.find(table.own);
-  if (own == table.peers.end()) return {};
-  const auto& here = own->second.data_centre;
-  auto helpers = FirstElsewhere(table, here, now);
-  for (const auto& it : Ranking(table, here, now)) {
-    if (it.id == table.own) continue;
-    helpers.push_back(it);
-    break;
-  }
-  return helpers;
-}
-
 std::vector<Peer> PeersThere(const PeerTable& table, Millis now) {
   std::vector<Peer> there;
   for (const auto& [id, peer] : table.peers) {
@@ -168,36 +142,48 @@
   }
   std::vector<Peer> senders;
   if (most < least * kAbler) return senders;
-  for (const auto& [id, peer] : table.peers) {
-    if (peer.processor >= most && IsThere(table, id, now)) {
-      senders.push_back(peer);
+  for (const auto& where : DataCentres(table)) {
+    for (const auto& it : Ranking(table, where, now)) {
+      if (it.processor >= most) senders.push_back(it);
     }
   }
   return senders;
 }
 
+std::vector<Peer> FirstSenders(const std::vector<Peer>& senders) {
+  std::vector<Peer> first;
+  std::set<DataCentreId> seen;
+  for (const auto& it : senders) {
+    if (seen.insert(it.data_centre).second) first.push_back(it);
+  }
+  return first;
+}
+
 const Peer* SenderFor(const std::vector<Peer>& senders, const Peer& own,
                       const std::vector<DataCentreId>& shard_places,
-                      size_t turn) {
-  const auto holds = [&](const DataCentreId& where) {
-    return shard_places.empty() ||
-           std::find(shard_places.begin(), shard_places.end(), where) !=
-               shard_places.end();
-  };
-  std::vector<const Peer*> best;
-  int best_rank = 3;
-  for (const auto& it : senders) {
-    const bool near = it.data_centre == own.data_centre;
-    const int rank = holds(it.data_centre) ? (near ? 0 : 1) : 2;
-    if (it.id == own.id && rank < 2) return nullptr;
-    if (rank > best_rank) continue;
-    if (rank < best_rank) best.clear();
-    best_rank = rank;
-    best.push_back(&it);
+                      size_t turn,
+                      const std::function<double(const InstanceId&)>& busy) {
+  const auto nearest = Nearest(senders, own, shard_places);
+  if (nearest.empty()) return nullptr;
+  // The first of each data centre before its others, another data centre's each
+  // time.
+  std::vector<const Peer*> order;
+  std::vector<const Peer*> others;
+  std::set<DataCentreId> seen;
+  for (const auto* it : nearest) {
+    (seen.insert(it->data_centre).second ? order : others).push_back(it);
+  }
+  const auto by = static_cast<std::ptrdiff_t>(turn % order.size());
+  std::rotate(order.begin(), order.begin() + by, order.end());
+  order.insert(order.end(), others.begin(), others.end());
+  auto at = std::find_if(order.begin(), order.end(),
+                         [&](auto* it) { return busy(it->id) < kBusySender; });
+  if (at == order.end()) {
+    at = std::min_element(order.begin(), order.end(), [&](auto* a, auto* b) {
+      return busy(a->id) < busy(b->id);
+    });
   }
-  if (best.empty()) return nullptr;
-  const Peer* chosen = best[turn % best.size()];
-  return chosen->id == own.id ? nullptr : chosen;
+  return (*at)->id == own.id ? nullptr : *at;
 }
 
 std::vector<RelayGroup> GroupRelays(
--- a/packages/engine/tests/peers_test.cc
+++ b/packages/engine/tests/peers_test.cc
@@ -1,53 +1,15 @@
 #include "hibiscuspick/engine/peers.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <set>
 
+#include "fleet_table.h"
+
 namespace hibiscuspick::engine {
 namespace {
 
-constexpr Millis kNow{1000};
-
-// `per_place` instances in each of three data centres; the first `able` of each
-// have half a core, the others an eighth.
-PeerTable Fleet(size_t per_place, size_t able = 0) {
-  PeerTable table;
-  for (const char* place : {"a", "b", "c"}) {
-    for (size_t i = 0; i < per_place; ++i) {
-      Peer peer;
-      peer.id = InstanceId(std::string(place) + std::to_string(i));
-      peer.data_centre = DataCentreId(place);
-      peer.processor = i < able ? 0.5 : 0.12;
-      table.peers[peer.id] = peer;
-    }
-  }
-  return table;
-}
-
-NewsSources SourcesAs(PeerTable table, const InstanceId& own) {
-  table.own = own;
-  return SourcesOf(table, kNow);
-}
-
-BOOST_AUTO_TEST_CASE(FewInstancesAllWatch) {
-  const auto table = Fleet(3);
-  for (const auto& [id, peer] : table.peers) {
-    BOOST_TEST(SourcesAs(table, id).store);
-  }
-}
-
-// The store turns one instance away and serves the others. It asks one of its
-// own data centre and one elsewhere, so that the cut of a data centre or the
-// loss of an instance leaves it one.
-BOOST_AUTO_TEST_CASE(HelpersAreHereAndElsewhere) {
-  auto table = Fleet(2);
-  table.own = InstanceId("a1");
-  const auto helpers = HelpersOf(table, kNow);
-  BOOST_TEST_REQUIRE(helpers.size() == 2);
-  BOOST_TEST(helpers[0].data_centre.text == "b");
-  BOOST_TEST(helpers[1].id.text == "a0");
-  BOOST_TEST(HelpersOf(PeerTable(), kNow).empty());
-}
+double Idle(const InstanceId&) { return 0; }
 
 // Each of 460 instances listing 460 every four seconds would read 10 MB a
 // second from the store.
@@ -57,48 +19,6 @@
   BOOST_TEST(ListPause(460).count == 28750);
 }
 
-// With every instance watching, 69 of them made 3,468 priced calls a day.
-BOOST_AUTO_TEST_CASE(OneWatcherInEachDataCentre) {
-  const auto table = Fleet(20, 2);
-  std::set<DataCentreId> watched;
-  for (const auto& [id, peer] : table.peers) {
-    const auto sources = SourcesAs(table, id);
-    if (sources.store) {
-      BOOST_TEST(watched.insert(peer.data_centre).second);
-      BOOST_TEST(peer.processor == 0.5);
-    } else {
-      BOOST_TEST(sources.peers.size() == 2);
-      for (const auto& it : sources.peers) BOOST_TEST((it.id != id));
-    }
-  }
-  BOOST_TEST(watched.size() == 3);
-}
-
-// The watcher is cut off from the store and doesn't know it yet. Its data
-// centre still hears of a change, by its second instance that asks elsewhere
-// too.
-BOOST_AUTO_TEST_CASE(SecondInstanceAsksElsewhereToo) {
-  const auto table = Fleet(20, 2);
-  const auto ranking = Ranking(table, DataCentreId("a"), kNow);
-  const auto sources = SourcesAs(table, ranking[1].id);
-  BOOST_TEST_REQUIRE(sources.peers.size() == 2);
-  BOOST_TEST(sources.peers[0].data_centre.text == "a");
-  BOOST_TEST(sources.peers[1].data_centre.text != "a");
-}
-
-// The watcher is lost for good. The next in rank takes over once it has
-// noticed.
-BOOST_AUTO_TEST_CASE(NextInRankTakesOver) {
-  auto table = Fleet(20, 2);
-  const auto ranking = Ranking(table, DataCentreId("a"), kNow);
-  table.own = ranking[1].id;
-  NoteSilent(&table, ranking[0].id, kNow);
-  BOOST_TEST(SourcesOf(table, kNow).store);
-  BOOST_TEST(!SourcesOf(table, kNow + Millis(2000)).store);
-  NoteAnswered(&table, ranking[0].id);
-  BOOST_TEST(!SourcesOf(table, kNow).store);
-}
-
 // Few instances that each send their own queries meet in the servers' queues,
 // where an urgent part waits behind slow ones; see queue_play_test.cc.
 BOOST_AUTO_TEST_CASE(OneOfFewInstancesSendsForItsDataCentre) {
@@ -133,7 +53,7 @@
   for (size_t turn = 0; turn < 6; ++turn) {
     for (const auto& own : senders) {
       const auto* chosen =
-          SenderFor(senders, own, {DataCentreId("nowhere")}, turn);
+          SenderFor(senders, own, {DataCentreId("nowhere")}, turn, Idle);
       BOOST_TEST((chosen == nullptr || chosen->id != own.id));
     }
   }
@@ -145,23 +65,45 @@
   const auto table = Fleet(20, 2);
   const auto senders = FanOutSenders(table, kNow);
   const auto& weak_a = table.peers.at(InstanceId("a9"));
-  const auto& able_a = table.peers.at(InstanceId("a0"));
+  const auto first = Ranking(table, DataCentreId("a"), kNow)[0];
   const std::vector<DataCentreId> everywhere;
   const std::vector<DataCentreId> not_a = {DataCentreId("b"),
                                            DataCentreId("c")};
-  std::set<InstanceId> used;
+  std::set<DataCentreId> used;
   for (size_t turn = 0; turn < 4; ++turn) {
-    const auto* sender = SenderFor(senders, weak_a, everywhere, turn);
+    const auto* sender = SenderFor(senders, weak_a, everywhere, turn, Idle);
     BOOST_TEST_REQUIRE(sender);
-    BOOST_TEST(sender->data_centre.text == "a");
-    used.insert(sender->id);
-    BOOST_TEST(SenderFor(senders, weak_a, not_a, turn)->data_centre.text !=
-               "a");
+    BOOST_TEST((sender->id == first.id));
+    used.insert(SenderFor(senders, weak_a, not_a, turn, Idle)->data_centre);
   }
-  BOOST_TEST(used.size() == 2);
-  BOOST_TEST(!SenderFor(senders, able_a, everywhere, 0));
-  BOOST_TEST(SenderFor(senders, able_a, not_a, 0));
-  BOOST_TEST(!SenderFor({}, weak_a, everywhere, 0));
+  BOOST_TEST((used == std::set(not_a.begin(), not_a.end())));
+  BOOST_TEST(!SenderFor(senders, first, everywhere, 0, Idle));
+  BOOST_TEST(SenderFor(senders, first, not_a, 0, Idle));
+  BOOST_TEST(!SenderFor({}, weak_a, everywhere, 0, Idle));
+}
+
+// Three able instances that share the queries of a data centre learn of a
+// server's pause when it is over. One that gets them all would in the end have
+// more than it can do.
+BOOST_AUTO_TEST_CASE(OneSenderOfEachDataCentreUntilItIsBusy) {
+  const auto table = Fleet(20, 3);
+  const auto senders = FanOutSenders(table, kNow);
+  const auto ranking = Ranking(table, DataCentreId("a"), kNow);
+  const auto& weak = table.peers.at(InstanceId("a9"));
+  std::map<InstanceId, double> busy;
+  const auto share = [&](const InstanceId& it) { return busy[it]; };
+  const auto chosen = [&] {
+    return SenderFor(senders, weak, {}, 3, share)->id;
+  };
+  BOOST_TEST((chosen() == ranking[0].id));
+  BOOST_TEST(
+      (SenderFor(senders, ranking[1], {}, 3, share)->id == ranking[0].id));
+  busy[ranking[0].id] = 0.6;
+  BOOST_TEST((chosen() == ranking[1].id));
+  BOOST_TEST(!SenderFor(senders, ranking[1], {}, 3, share));
+  busy[ranking[1].id] = 0.9;
+  busy[ranking[2].id] = 0.7;
+  BOOST_TEST((chosen() == ranking[0].id));
 }
 
 // Each part from another data centre is paid for by the byte. Shards that have
