--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -12,7 +12,7 @@
 
 // An attempt that nobody waits for may end by itself within this, which keeps
 // the connection and tells the server's speed; past it the connection is given
-// up for the slot behind it. 120 ms: -.0033 +- .0014 at skjv-oslo, 20 plays.
+// up for the slot behind it.
 constexpr Millis kAbandonedTime{350};
 
 // A service whose servers are all slow still does something.
--- a/packages/engine/include/hibiscuspick/engine/extra_budget.h
+++ b/packages/engine/include/hibiscuspick/engine/extra_budget.h
@@ -35,9 +35,7 @@
 // The share of the budget that is kept for second attempts without which a
 // query fails; those that only make an answer more complete get what is beyond
 // it. While no more than that is left a failure may stay unpaid, so that
-// failing servers are dearer. Where servers lose answers, 187 failed fan-outs
-// in four seconds became 60. In calm it costs nothing that shows: of what
-// requests are worth 0.956 was earned before and 0.957 after.
+// failing servers are dearer.
 inline constexpr double kKeptForNeed = 0.4;
 
 // Notes a request for the service.
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -77,9 +77,7 @@
 // slots put a part of 9 ms behind three of 28.
 //
 // Answers: a shard whose other server is cut off or lost, at 1.0 to 1.2 of its
-// slots. Of what callers' requests are worth 0.40 was earned in the seconds of
-// a cut, instead of 0.24; in queue_play_test.cc all urgent queries are in time
-// instead of 0.70.
+// slots; queue_play_test.cc plays it.
 //
 // More instances: those with the most processor, if they have kAbler times that
 // of the weakest, those of a data centre in order of rank. A fan-out to 90
--- a/packages/engine/src/route_pace.cc
+++ b/packages/engine/src/route_pace.cc
@@ -11,9 +11,8 @@
 constexpr uint64_t kFirstSamples = 16;
 
 // The share of attempts that are on time. A fan-out to 20 shards has one late
-// attempt a query at 0.95: right for suspecting a server, which costs nothing,
-// and, with a budget of one for five queries, no worse for second attempts than
-// 0.98 (both measured on a day of each site, within 0.01).
+// attempt a query: right for suspecting a server, which costs nothing, and no
+// worse for second attempts than a later bound.
 constexpr double kLateQuantile = 0.95;
 
 // Bounds as shares of the target: sooner is noise; later leaves no time for the
