--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -57,6 +57,9 @@
 void NoteSilent(PeerTable* table, const InstanceId& peer, Millis now);
 void NoteAnswered(PeerTable* table, const InstanceId& peer);
 
+// The data centres that have instances, in the order of their names.
+std::vector<DataCentreId> DataCentres(const PeerTable& table);
+
 // The instances of a data centre that are there, the ablest first; equal ones
 // by hash, so that the same few don't do everything everywhere.
 std::vector<Peer> Ranking(const PeerTable& table, const DataCentreId& where,
--- a/packages/engine/src/news_sources.cc
+++ b/packages/engine/src/news_sources.cc
@@ -22,14 +22,6 @@
 // silent too comes first by that.
 constexpr size_t kMostAsking = 8;
 
-std::vector<DataCentreId> DataCentres(const PeerTable& table) {
-  std::vector<DataCentreId> all;
-  for (const auto& [id, peer] : table.peers) all.push_back(peer.data_centre);
-  std::sort(all.begin(), all.end());
-  all.erase(std::unique(all.begin(), all.end()), all.end());
-  return all;
-}
-
 // The first of the next data centre, in the order of names, that has one.
 std::vector<Peer> FirstElsewhere(const PeerTable& table,
                                  const DataCentreId& own, Millis now) {
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -27,12 +27,6 @@
   return silent == table.silent.end() || now >= silent->second.until;
 }
 
-std::vector<DataCentreId> DataCentres(const PeerTable& table) {
-  std::set<DataCentreId> all;
-  for (const auto& [id, peer] : table.peers) all.insert(peer.data_centre);
-  return {all.begin(), all.end()};
-}
-
 // The first in rank of each data centre.
 std::vector<Peer> FirstOfEach(const PeerTable& table, Millis now) {
   std::vector<Peer> first;
@@ -85,6 +79,12 @@
   return kOften * std::max(1.0, times);
 }
 
+std::vector<DataCentreId> DataCentres(const PeerTable& table) {
+  std::set<DataCentreId> all;
+  for (const auto& [id, peer] : table.peers) all.insert(peer.data_centre);
+  return {all.begin(), all.end()};
+}
+
 std::vector<Peer> Ranking(const PeerTable& table, const DataCentreId& where,
                           Millis now) {
   std::vector<Peer> ranking;
--- a/packages/engine/tests/news_play_test.cc
+++ b/packages/engine/tests/news_play_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/engine/news_sources.h"
