Instances that don't send keep their fifth of the slack

Their part had become a tenth with the stand-ins' shares: at nine instances less than one extra attempt in ten seconds, for the moments in which no sender is within reach. That was not meant; small fleets have what they had.

--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -195,7 +195,8 @@
 }
 
 // Connections and the slack of a budget are shared by those who send: all
-// instances, or for shards the senders of fan-outs.
+// instances, or for shards the senders of fan-outs. The others keep a little,
+// for the moments in which no sender is within reach.
 void TrafficServer::ShareOut() {
   const engine::SharePlan plan{instances_, peers_.senders().size(),
                                engine::FirstSenders(peers_.senders()).size()};
--- a/packages/engine/src/sender_shares.cc
+++ b/packages/engine/src/sender_shares.cc
@@ -6,8 +6,8 @@
 namespace {
 
 // Of all senders together, and of the stand-ins among them.
-constexpr SenderShares kSenders{0.8, 0.9};
-constexpr SenderShares kStandIns{0.3, 0.15};
+constexpr SenderShares kSenders{0.8, 0.8};
+constexpr SenderShares kStandIns{0.3, 0.08};
 
 SenderShares Each(double connections, double slack, size_t n) {
   const auto count = static_cast<double>(std::max<size_t>(n, 1));
