--- a/packages/engine/src/news_sources.cc
+++ b/packages/engine/src/news_sources.cc
@@ -48,58 +48,44 @@
   }
 }
 
-// The first in rank of the own data centre.
-std::vector<Peer> FirstHere(const PeerTable& table, size_t n, Millis now) {
+// Those of the own data centre; none if the own entry isn't known.
+std::vector<Peer> RankingHere(const PeerTable& table, Millis now) {
   const auto own = table.peers.find(table.own);
   if (own == table.peers.end()) return {};
-  auto ranking = Ranking(table, own->second.data_centre, now);
-  ranking.resize(std::min(ranking.size(), n));
-  return ranking;
+  return Ranking(table, own->second.data_centre, now);
 }
 
-}  // namespace
-
-Millis NewsAge(const NewsState& state, Millis now) {
-  return now - Max(state.confirmed, state.began);
+std::vector<Peer> HelpersBy(const PeerTable& table,
+                            const std::vector<Peer>& ranking, Millis now) {
+  if (ranking.empty()) return {};
+  auto helpers = FirstElsewhere(table, ranking[0].data_centre, now);
+  for (const auto& it : ranking) {
+    if (it.id == table.own) continue;
+    helpers.push_back(it);
+    break;
+  }
+  return helpers;
 }
 
-NewsSources SourcesOf(const PeerTable& table, Millis now) {
+NewsSources SourcesBy(const PeerTable& table, const std::vector<Peer>& ranking,
+                      Millis now) {
   NewsSources sources;
-  const auto own = table.peers.find(table.own);
-  sources.store = own == table.peers.end() || table.peers.size() <= kMostDirect;
+  sources.store = ranking.empty() || table.peers.size() <= kMostDirect ||
+                  ranking[0].id == table.own;
   if (sources.store) return sources;
-  const auto ranking = Ranking(table, own->second.data_centre, now);
-  if (ranking[0].id == table.own) {
-    sources.store = true;
-    return sources;
-  }
   sources.peers = {ranking[0]};
   if (ranking[1].id != table.own) {
     sources.peers.push_back(ranking[1]);
     return sources;
   }
-  AddPeers(table, FirstElsewhere(table, own->second.data_centre, now),
+  AddPeers(table, FirstElsewhere(table, ranking[0].data_centre, now),
            &sources.peers);
   return sources;
 }
 
-std::vector<Peer> HelpersOf(const PeerTable& table, Millis now) {
-  const auto own = table.peers.find(table.own);
-  if (own == table.peers.end()) return {};
-  const auto& here = own->second.data_centre;
-  auto helpers = FirstElsewhere(table, here, now);
-  for (const auto& it : Ranking(table, here, now)) {
-    if (it.id == table.own) continue;
-    helpers.push_back(it);
-    break;
-  }
-  return helpers;
-}
-
-Millis PatienceOf(const PeerTable& table, bool has_heard, Millis now) {
-  const auto own = table.peers.find(table.own);
-  if (own == table.peers.end()) return Millis(0);
-  const auto ranking = Ranking(table, own->second.data_centre, now);
+Millis PatienceBy(const PeerTable& table, const std::vector<Peer>& ranking,
+                  bool has_heard) {
+  if (ranking.empty()) return Millis(0);
   const auto at = std::find_if(ranking.begin(), ranking.end(),
                                [&](auto& it) { return it.id == table.own; });
   const auto rank = static_cast<size_t>(at - ranking.begin());
@@ -110,24 +96,45 @@
                    : kFirstStep * (doubled / 2);
 }
 
+}  // namespace
+
+Millis NewsAge(const NewsState& state, Millis now) {
+  return now - Max(state.confirmed, state.began);
+}
+
+NewsSources SourcesOf(const PeerTable& table, Millis now) {
+  return SourcesBy(table, RankingHere(table, now), now);
+}
+
+std::vector<Peer> HelpersOf(const PeerTable& table, Millis now) {
+  return HelpersBy(table, RankingHere(table, now), now);
+}
+
+Millis PatienceOf(const PeerTable& table, bool has_heard, Millis now) {
+  return PatienceBy(table, RankingHere(table, now), has_heard);
+}
+
 NewsSources SourcesNow(const PeerTable& table, const NewsState& state,
                        Millis now) {
   const bool has_heard = HasHeard(state);
   const Millis age = NewsAge(state, now);
-  auto sources = SourcesOf(table, now);
+  const auto ranking = RankingHere(table, now);
+  auto sources = SourcesBy(table, ranking, now);
   if (!state.list_is_whole && table.peers.size() <= kMostDirect) {
     sources.store = false;
-    AddPeers(table, HelpersOf(table, now), &sources.peers);
+    AddPeers(table, HelpersBy(table, ranking, now), &sources.peers);
     return sources;
   }
   const bool is_old = age > (has_heard ? kOldestNews : kFirstStep);
   if (is_old) {
-    AddPeers(table, FirstHere(table, kAskedWhileOld, now), &sources.peers);
+    auto first = ranking;
+    first.resize(std::min(first.size(), kAskedWhileOld));
+    AddPeers(table, first, &sources.peers);
   }
   if (is_old || (sources.store && state.store_fails)) {
-    AddPeers(table, HelpersOf(table, now), &sources.peers);
+    AddPeers(table, HelpersBy(table, ranking, now), &sources.peers);
   }
-  if (age > PatienceOf(table, has_heard, now)) sources.store = true;
+  if (age > PatienceBy(table, ranking, has_heard)) sources.store = true;
   return sources;
 }
 
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -87,16 +87,22 @@
 
 std::vector<Peer> Ranking(const PeerTable& table, const DataCentreId& where,
                           Millis now) {
-  std::vector<Peer> ranking;
+  // Worked out once for each, since an instance ranks hundreds several times a
+  // second.
+  std::vector<std::tuple<double, uint64_t, const Peer*>> keyed;
   for (const auto& [id, peer] : table.peers) {
     if (peer.data_centre == where && IsThere(table, id, now)) {
-      ranking.push_back(peer);
+      keyed.emplace_back(-peer.processor, Hash(id.text), &peer);
     }
   }
-  std::sort(ranking.begin(), ranking.end(), [](auto& a, auto& b) {
-    return std::tuple(-a.processor, Hash(a.id.text), a.id) <
-           std::tuple(-b.processor, Hash(b.id.text), b.id);
+  // Peers of equal hash stand in the order of their ids already.
+  std::stable_sort(keyed.begin(), keyed.end(), [](auto& a, auto& b) {
+    return std::tie(std::get<0>(a), std::get<1>(a)) <
+           std::tie(std::get<0>(b), std::get<1>(b));
   });
+  std::vector<Peer> ranking;
+  ranking.reserve(keyed.size());
+  for (const auto& it : keyed) ranking.push_back(*std::get<2>(it));
   return ranking;
 }
 
