Relays ask a second server themselves

Cause: a relay sent each part to one server and told of a failure, or of a server that stands still, when its answer was due, some 20 ms before the owner's. The second attempt that the owner paid for then came too late. With five data centres six of ten parts go through a relay.

Change: a relay hedges and retries within its own share of the budget; what it counts as needed follows the least share of its group, rounded down. It names the parts that lack and used all attempts of the route, so that relay and owner keep to them together (PeerAndOwnerKeepToTheAttemptsTogether, as it was); of a relay that is lost the owner takes it that all were used.

Test: PeersAskASecondServerThemselves, with a server that resets and one that stands still.

--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -40,7 +40,10 @@
 // In the answer to a query for some shards: the places of those that are in, in
 // the order of their receipts.
 inline constexpr std::string_view kShardsInHeader = "Hp-Shards-In";
-// In the same: the places of those that may still come, and the name by which
+// In every answer to such a query: the places of those that lack and were sent
+// to as many servers as the route allows.
+inline constexpr std::string_view kShardsSpentHeader = "Hp-Shards-Spent";
+// In the first: the places of those that may still come, and the name by which
 // to ask for them within kRestPatience.
 inline constexpr std::string_view kShardsOpenHeader = "Hp-Shards-Open";
 inline constexpr std::string_view kRestHeader = "Hp-Rest";
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -200,6 +200,8 @@
   void AskForRest(const Rest& rest, size_t wanted);
   void OnRest(const Rest& rest, HandedEnd end, const HttpReply& reply);
   std::vector<size_t> OpenPlaces() const;
+  std::vector<size_t> SpentPlaces() const;
+  void NoteSpent(const HttpReply& reply);
   QueryOutcome OutcomeOf(HttpReply reply, QueryFault fault) const;
   void WaitForRoom(size_t i, bool extra);
   bool TryPart(size_t i, Extra extra);
@@ -229,6 +231,7 @@
   void StopParts(bool caller_left);
   bool MayHaveRun() const;
   size_t FailedParts() const;
+  size_t NeededOfAll() const;
   engine::GatherProgress Progress() const;
 
   QueryContext* const context_;
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -172,6 +172,10 @@
 }
 
 void QueryRun::Finish(HttpReply reply, QueryFault fault) {
+  if (!places_.empty()) {
+    reply.headers.push_back(
+        {std::string(kShardsSpentHeader), JoinPlaces(SpentPlaces())});
+  }
   QueryOutcome outcome = OutcomeOf(std::move(reply), fault);
   const bool in_time = context_->loop->now() < clocks_.end_at;
   if (!places_.empty() && fault == QueryFault::kNone && in_time) {
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -73,9 +73,13 @@
   if (done_) return;
   for (const size_t i : shards) parts_[i].relayed = false;
   const bool begun = end != HandedEnd::kNotBegun;
-  // The peer may have sent each part to a server of its choice.
+  // The peer may have sent each part to a server of its choice, or to as many
+  // as are allowed if it doesn't say.
   if (begun) {
-    for (const size_t i : shards) parts_[i].ran_on.emplace_back();
+    const size_t each =
+        end == HandedEnd::kAnswer ? 1 : static_cast<size_t>(route_->attempts);
+    for (const size_t i : shards) parts_[i].ran_on.resize(each);
+    NoteSpent(reply);
   }
   const bool taken = end == HandedEnd::kAnswer && TakeRelayed(shards, reply);
   if (taken) KeepRest(shards, peer, reply);
@@ -91,6 +95,27 @@
   if (!done_) Check();
 }
 
+std::vector<size_t> QueryRun::SpentPlaces() const {
+  std::vector<size_t> spent;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    const auto& it = parts_[i];
+    if (it.in || it.settled) continue;
+    const bool once = it.ran_on.size() < static_cast<size_t>(route_->attempts);
+    if (!once) spent.push_back(places_[i]);
+  }
+  return spent;
+}
+
+void QueryRun::NoteSpent(const HttpReply& reply) {
+  const auto places =
+      SplitPlaces(FindHeader(reply.headers, kShardsSpentHeader));
+  if (!places) return;
+  for (const size_t i : *places) {
+    if (i >= parts_.size() || parts_[i].in) continue;
+    parts_[i].ran_on.resize(static_cast<size_t>(route_->attempts));
+  }
+}
+
 // Takes the parts that a peer's answer names; false if it can't be used.
 bool QueryRun::TakeRelayed(const std::vector<size_t>& shards,
                            const HttpReply& reply) {
--- a/packages/edge/src/query_rest.cc
+++ b/packages/edge/src/query_rest.cc
@@ -97,6 +97,7 @@
 void QueryRun::OnRest(const Rest& rest, HandedEnd end, const HttpReply& reply) {
   if (done_) return;
   for (const size_t i : rest.shards) parts_[i].relayed = false;
+  NoteSpent(reply);
   const bool taken =
       end == HandedEnd::kAnswer && TakeRelayed(rest.shards, reply);
   if (taken) KeepRest(rest.shards, rest.peer, reply);
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -19,9 +19,7 @@
 void QueryRun::RetryPart(size_t i, bool ran) {
   auto& part = parts_[i];
   if (!part.open.empty() || part.waiting) return;
-  const bool may_repeat =
-      !ran ||
-      (route_->repeat == engine::Repeat::kIdempotent && places_.empty());
+  const bool may_repeat = !ran || route_->repeat == engine::Repeat::kIdempotent;
   const bool may_run =
       part.ran_on.size() < static_cast<size_t>(route_->attempts);
   if (!may_repeat || !may_run || part.refusals > kMostRefusals) {
@@ -32,7 +30,7 @@
   const bool extra = ran || part.refusals > 0;
   const bool needed =
       !Uses().needed_retries ||
-      engine::NeedsRetry(parts_.size(), FailedParts(), Progress().needed);
+      engine::NeedsRetry(parts_.size(), FailedParts(), NeededOfAll());
   const Extra kind = !extra   ? Extra::kNone
                      : needed ? Extra::kNeeded
                               : Extra::kOptional;
@@ -47,21 +45,26 @@
 }
 
 bool QueryRun::MayHedge(const Part& part) const {
-  // A peer that asks for some parts sends each to one server: the whole query's
-  // owner counts that one against the route's attempts, and may send the rest.
-  return Uses().hedging && places_.empty() &&
-         route_->repeat == engine::Repeat::kIdempotent &&
+  return Uses().hedging && route_->repeat == engine::Repeat::kIdempotent &&
          route_->attempts > 1 && part.open.size() == 1 &&
          part.ran_on.size() < static_cast<size_t>(route_->attempts);
 }
 
+// Of the parts in hand; a peer has some of a query's.
+size_t QueryRun::NeededOfAll() const {
+  if (!route_->gather) return 1;
+  const double share = route_->gather->least_share;
+  return places_.empty() ? engine::PartsNeeded(share, parts_.size())
+                         : engine::PartsNeededOfSome(share, parts_.size());
+}
+
 // Late parts: those kept back are asked in their place, and, as far as the
 // budget goes, another server than the one that is late.
 void QueryRun::HedgeParts() {
   std::vector<engine::PartView> missing;
   for (size_t i = 0; i < parts_.size(); ++i) {
     const auto& part = parts_[i];
-    if (part.in || part.failed) continue;
+    if (part.in || part.failed || part.settled) continue;
     engine::PartView view;
     view.place = i;
     // A peer that has it looks after it.
@@ -71,9 +74,10 @@
     view.may_hedge = MayHedge(part);
     missing.push_back(view);
   }
-  const auto progress = Progress();
+  const auto in = static_cast<size_t>(std::count_if(
+      parts_.begin(), parts_.end(), [](auto& it) { return it.in; }));
   const auto plan =
-      engine::PlanHedges(std::move(missing), progress.in, progress.needed,
+      engine::PlanHedges(std::move(missing), in, NeededOfAll(),
                          context_->loop->now() - pace_->hedge_after);
   for (const size_t i : plan.start) StartPart(i);
   for (const size_t i : plan.urgent) TryPart(i, Extra::kNeeded);
@@ -84,7 +88,7 @@
   Millis next = kNever;
   const Millis now = context_->loop->now();
   for (const auto& part : parts_) {
-    if (part.in || part.failed || !MayHedge(part)) continue;
+    if (part.in || part.failed || part.settled || !MayHedge(part)) continue;
     // One that is due already found no server or no budget: it looks again
     // after a quarter of the time.
     Millis at = part.open[0].since + pace_->hedge_after;
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -145,6 +145,30 @@
   BOOST_TEST(places.Arrivals() == kShards);
 }
 
+// A far server breaks off, or stands still, and the shard has another one. The
+// owner of the query used to hear of it when the answer was due, too late for a
+// second attempt: its callers missed these parts.
+BOOST_AUTO_TEST_CASE(PeersAskASecondServerThemselves) {
+  for (const bool silent : {false, true}) {
+    TwoPlaces places;
+    RawServer bad([=](auto&) {
+      return Scripted{.text = "", .resets = !silent, .silent = silent};
+    });
+    auto& entries = places.here.entries();
+    entries.push_back(entries[3]);
+    entries.back().id = BackendServerId("bad");
+    entries.back().address.port = bad.port();
+    places.here.Publish();
+    places.here.ShareWith(&places.there);
+    places.Introduce({}, {places.there.peer()});
+    for (int i = 0; i < 4; ++i) {
+      const auto answer = places.here.Ask("GET /g/x");
+      BOOST_TEST(StampCount(answer) == kShards);
+    }
+    BOOST_TEST(bad.requests().size() >= 1);
+  }
+}
+
 // A shard's servers break off, one after the other. The peer has tried one and
 // the owner another: a third would be more than the route allows, load on
 // servers that are in trouble already.
--- a/packages/engine/include/hibiscuspick/engine/gather.h
+++ b/packages/engine/include/hibiscuspick/engine/gather.h
@@ -17,6 +17,12 @@
 // Parts that make an answer: the least share, rounded up.
 size_t PartsNeeded(double least_share, size_t shards);
 
+// Parts that an instance has to bring which asks for `shards` of a query's and
+// doesn't see the others. Rounded down: to groups of a few shards the least
+// share would else allow no part to lack at all, and the first late one would
+// draw on what is kept for queries that fail without it.
+size_t PartsNeededOfSome(double least_share, size_t shards);
+
 // How far a query is.
 struct GatherProgress {
   size_t shards = 0;
--- a/packages/engine/src/gather.cc
+++ b/packages/engine/src/gather.cc
@@ -6,15 +6,25 @@
 
 namespace hibiscuspick::engine {
 
+namespace {
+
+// Shares are written with few digits; without the small allowance a product
+// that is a whole number but for rounding would ask for one part more or less.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
 size_t PartsNeeded(double least_share, size_t shards) {
-  // Shares are written with few digits; without the small allowance a product
-  // that is a whole number but for rounding would ask for one part more.
-  constexpr double kRounding = 1e-9;
   const double exact = least_share * static_cast<double>(shards) - kRounding;
   const auto needed = static_cast<size_t>(std::ceil(std::max(exact, 0.0)));
   return std::clamp<size_t>(needed, 1, std::max<size_t>(shards, 1));
 }
 
+size_t PartsNeededOfSome(double least_share, size_t shards) {
+  return static_cast<size_t>(least_share * static_cast<double>(shards) +
+                             kRounding);
+}
+
 GatherStep NextStep(const GatherProgress& progress, const GatherClocks& clocks,
                     Millis now) {
   const bool enough = progress.in >= progress.needed;
--- a/packages/engine/tests/gather_test.cc
+++ b/packages/engine/tests/gather_test.cc
@@ -31,6 +31,16 @@
   BOOST_TEST(PartsNeeded(row.least_share, row.shards) == row.needed);
 }
 
+const NeededRow kNeededOfSome[] = {
+    {0.95, 17, 16}, {0.95, 3, 2}, {0.85, 17, 14}, {0.95, 20, 19},
+    {1, 17, 17},    {0, 5, 0},    {0.3, 10, 3},
+};
+
+BOOST_DATA_TEST_CASE(LeastShareOfAGroupAllowsOne, bdata::make(kNeededOfSome),
+                     row) {
+  BOOST_TEST(PartsNeededOfSome(row.least_share, row.shards) == row.needed);
+}
+
 struct StepRow {
   const char* name;
   GatherProgress progress;
