A cut is told to the whole data centre, which looks for itself

An instance of an eighth of a core meets a caller every few seconds and heard of the cut only in the answer to a query that it handed over.

Change: an instance that finds all other data centres lost tells those that wait for news from it, at once. Who is told in its own data centre tries the others itself and believes what it finds, so that one instance that is cut off alone takes nobody out.

Ruled out: to believe it as told (a single cut-off instance, asked for news by all of its data centre, would take them all out).

--- a/packages/edge/include/hibiscuspick/edge/sounder.h
+++ b/packages/edge/include/hibiscuspick/edge/sounder.h
@@ -31,6 +31,9 @@
   // Gives addresses of servers in a data centre.
   void set_servers(AddressesOf servers) { servers_ = std::move(servers); }
 
+  // Told when all others are lost, and when one is back after that.
+  void set_on_alone(std::function<void(bool)> it) { on_alone_ = std::move(it); }
+
   // Something came from there.
   void NoteHeard(const DataCentreId& where);
   // A connection there failed or broke. Where others are heard this tells
@@ -58,6 +61,7 @@
   void Sound(const DataCentreId& where);
   void Try(const DataCentreId& where, const std::vector<Address>& some);
   void End(const DataCentreId& where);
+  void TellIfAlone();
 
   Loop* const loop_;
   const DataCentreId own_;
@@ -65,6 +69,8 @@
   AddressesOf servers_;
   std::map<DataCentreId, Place> places_;
   Millis heard_elsewhere_{-1};
+  std::function<void(bool)> on_alone_;
+  bool told_alone_ = false;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/address.h"
@@ -74,6 +75,15 @@
   // that can be reached.
   void SetSounded(const std::vector<engine::Peer>& peers);
 
+  // Told when this instance finds its data centre cut off, and when it hears
+  // another one again.
+  void set_on_alone(std::function<void(bool)> it) {
+    sounder_.set_on_alone(std::move(it));
+  }
+  // Another instance of the data centre has found it cut off. Looked into, not
+  // believed: it may be that one alone.
+  void LookIfCutOff();
+
   // Not ready from now on; `done` is called when nothing is in hand any more
   // or the time is up.
   void Stop(const std::function<void()>& done);
--- a/packages/edge/src/sounder.cc
+++ b/packages/edge/src/sounder.cc
@@ -38,6 +38,7 @@
   heard_elsewhere_ = loop_->now();
   if (engine::NoteHeard(&places_[where].reach, loop_->now())) {
     Log(Part::kMembers).info("data centre {} is back", where.text);
+    TellIfAlone();
   }
 }
 
@@ -71,6 +72,13 @@
                      [](auto& it) { return it.second.reach.lost; });
 }
 
+void Sounder::TellIfAlone() {
+  const bool alone = IsAlone();
+  if (alone == told_alone_) return;
+  told_alone_ = alone;
+  if (on_alone_) on_alone_(alone);
+}
+
 void Sounder::Sound(const DataCentreId& where) {
   auto& place = places_[where];
   engine::BeginSounding(&place.reach, loop_->now());
@@ -101,6 +109,7 @@
   if (end == engine::SoundingEnd::kThere) return;
   if (reach.lost && !was_lost) {
     Log(Part::kMembers).warn("data centre {} can't be reached", where.text);
+    TellIfAlone();
   }
   reach.sounding = true;
   const Millis now = loop_->now();
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -194,6 +194,11 @@
   sounder_.SetPeers(peers);
 }
 
+void TrafficServer::LookIfCutOff() {
+  // As if a question to each had been open for long enough.
+  sounder_.SuspectAll(loop_->now() - engine::kQuiet);
+}
+
 // Connections and the slack of a budget are shared by those who send: all
 // instances, or for shards the senders of fan-outs. The others keep a little,
 // for the moments in which no sender is within reach.
--- a/packages/edge/tests/sounder_test.cc
+++ b/packages/edge/tests/sounder_test.cc
@@ -67,6 +67,33 @@
   close(listener);
 }
 
+// Another instance of the data centre says that this is cut off. One that has
+// few callers finds out at once and not by refusing the next of them; where it
+// was that other one alone, callers are served as ever.
+BOOST_AUTO_TEST_CASE(WhoIsToldOfACutLooksForItself) {
+  for (const bool cut : {true, false}) {
+    TrafficFixture fixture;
+    auto far = std::make_unique<RawServer>(Answers("0123456789abcdef"));
+    const uint16_t port = far->port();
+    AddFarShard(&fixture, port);
+    fixture.OnLoop([&] { fixture.server().SetSounded({PeerAt(port)}); });
+    fixture.Publish();
+    BOOST_TEST(fixture.Ask("GET /g/x").starts_with("HTTP/1.1 200 "));
+    if (cut) far.reset();
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    const Millis told = SteadyNow();
+    fixture.OnLoop([&] { fixture.server().LookIfCutOff(); });
+    const auto is_ready = [&] {
+      return fixture.AskReady().starts_with("HTTP/1.1 200 ");
+    };
+    if (cut) {
+      BOOST_TEST(Eventually([&] { return !is_ready(); }));
+      BOOST_TEST((SteadyNow() - told).count < 1000);
+    }
+    while (!cut && SteadyNow() < told + Millis(600)) BOOST_TEST(is_ready());
+  }
+}
+
 // All instances of the other data centre are down, its servers are well. They
 // get their parts, and nobody is turned away here.
 BOOST_AUTO_TEST_CASE(ADataCentreWithoutInstancesIsNotLost) {
