--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -93,6 +93,7 @@
   bool IsFirstSender() const;
   // The share of its time that this instance is at work.
   void SetOwnBusy(double share) { own_busy_ = share; }
+  double own_busy() const { return own_busy_; }
 
   // The peer that a query over shards in these data centres goes to; nullptr if
   // this instance sends it itself.
@@ -121,6 +122,7 @@
 
  private:
   struct Open;
+  bool IsAmong(const std::vector<engine::Peer>& peers) const;
   bool IsAvoided(const InstanceId& peer) const;
   // What a sender has said of late; one that said nothing isn't known to be.
   double BusyShare(const InstanceId& peer) const;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -23,6 +23,7 @@
 namespace hibiscuspick::edge {
 
 class PeerSender;
+struct HandedQuery;
 
 // What a request needs of the instance; outlives it.
 struct QueryContext {
@@ -173,6 +174,8 @@
     HttpReply reply;
     // The last answer of a server that was no success.
     std::optional<HttpReply> failure;
+
+    bool IsOver() const { return in || failed || settled; }
   };
 
   const settings::Mechanisms& Uses() const {
@@ -185,8 +188,16 @@
   // Hands parts that are far to peers near them; gives the others.
   std::vector<size_t> RelayParts(const std::vector<size_t>& asked);
   bool SendRelay(const engine::RelayGroup& group);
+  // Sends a question about parts of this query, whose answer is due in `due`.
+  void AskPeer(const engine::Peer& peer, HandedQuery query, Millis due,
+               const std::function<void(HandedEnd, const HttpReply&)>& on_end);
   void OnRelayed(const engine::RelayGroup& group, const engine::Peer& peer,
                  HandedEnd end, const HttpReply& reply);
+  // What a peer said of these shards: takes what is in, keeps what may come,
+  // and asks for the others here. `ran`: the peer may have sent them to
+  // servers.
+  void TakeFromPeer(const std::vector<size_t>& shards, const engine::Peer& peer,
+                    HandedEnd end, const HttpReply& reply, bool ran);
   bool TakeRelayed(const std::vector<size_t>& shards, const HttpReply& reply);
   // Parts that peers still await.
   struct Rest {
@@ -198,7 +209,6 @@
                 const HttpReply& reply);
   void AskForRests();
   void AskForRest(const Rest& rest, size_t wanted);
-  void OnRest(const Rest& rest, HandedEnd end, const HttpReply& reply);
   std::vector<size_t> OpenPlaces() const;
   std::vector<size_t> SpentPlaces() const;
   void NoteSpent(const HttpReply& reply);
@@ -216,6 +226,8 @@
   void RetryPart(size_t i, bool ran);
   void HedgeParts();
   bool MayHedge(const Part& part) const;
+  // Whether the route allows that one more server runs it.
+  bool HasAttemptLeft(const Part& part) const;
   Millis NextHedge() const;
   void Check();
   void StartKeptBack();
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -102,6 +102,9 @@
   // A query that a peer hands over.
   void OnHanded(const std::shared_ptr<HttpSession>& session,
                 HttpRequest request);
+  // Stops what runs for whoever is at the other end, once that has left.
+  void CancelIfGone(const std::shared_ptr<HttpSession>& session,
+                    const std::shared_ptr<QueryRun>& query);
   void OnRestAsked(const std::shared_ptr<HttpSession>& session,
                    const HandedQuery& handed);
   // Answers a peer, which may ask for what is still open.
@@ -142,8 +145,6 @@
   PeerSender peers_;
   QueryMetrics metrics_;
   size_t instances_;
-  // Of the last half second.
-  double busy_share_ = 0;
   // What handing a query over costs in time, beside the peer's own, within the
   // data centre and to another. The first guess is a way and a half.
   engine::LagMeter near_lag_{Millis(4)};
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -189,16 +189,15 @@
   return idle != there.end() ? *idle : there.front();
 }
 
-bool PeerSender::IsSender() const {
-  return own_ && std::any_of(senders_.begin(), senders_.end(),
+bool PeerSender::IsAmong(const std::vector<engine::Peer>& peers) const {
+  return own_ && std::any_of(peers.begin(), peers.end(),
                              [&](auto& it) { return it.id == own_->id; });
 }
 
+bool PeerSender::IsSender() const { return IsAmong(senders_); }
+
 bool PeerSender::IsFirstSender() const {
-  if (!own_) return false;
-  const auto first = engine::FirstSenders(senders_);
-  return std::any_of(first.begin(), first.end(),
-                     [&](auto& it) { return it.id == own_->id; });
+  return IsAmong(engine::FirstSenders(senders_));
 }
 
 double PeerSender::BusyShare(const InstanceId& peer) const {
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -45,20 +45,26 @@
   if (peer == nullptr) return false;
   const Millis left = clocks_.answer_at - began_;
   HandedQuery query;
-  query.config_version = config_->version;
   query.clocks.answer_in = left - context_->relay_lag.high;
   query.clocks.end_in = clocks_.end_at - began_;
   query.shards = group.shards;
+  AskPeer(*peer, std::move(query), left,
+          [self = shared_from_this(), group, peer = *peer](
+              HandedEnd end, const HttpReply& reply) {
+            self->OnRelayed(group, peer, end, reply);
+          });
+  return true;
+}
+
+void QueryRun::AskPeer(
+    const engine::Peer& peer, HandedQuery query, Millis due,
+    const std::function<void(HandedEnd, const HttpReply&)>& on_end) {
+  query.config_version = config_->version;
   HttpRequest sent = Forwarded();
   AddHanded(query, &sent.headers);
-  relays_.push_back(
-      context_->peers->Send(*peer, ToText(sent), request_.method == "HEAD",
-                            {left, left + kRelaySlack},
-                            [self = shared_from_this(), group, peer = *peer](
-                                HandedEnd end, const HttpReply& reply) {
-                              self->OnRelayed(group, peer, end, reply);
-                            }));
-  return true;
+  relays_.push_back(context_->peers->Send(peer, ToText(sent),
+                                          request_.method == "HEAD",
+                                          {due, due + kRelaySlack}, on_end));
 }
 
 void QueryRun::OnRelayed(const engine::RelayGroup& group,
@@ -71,7 +77,6 @@
                                1 - in / static_cast<double>(shards.size()));
   NoteHop(reply, began_, &context_->relay_lag);
   if (done_) return;
-  for (const size_t i : shards) parts_[i].relayed = false;
   const bool begun = end != HandedEnd::kNotBegun;
   // The peer may have sent each part to a server of its choice, or to as many
   // as are allowed if it doesn't say.
@@ -79,14 +84,21 @@
     const size_t each =
         end == HandedEnd::kAnswer ? 1 : static_cast<size_t>(route_->attempts);
     for (const size_t i : shards) parts_[i].ran_on.resize(each);
-    NoteSpent(reply);
   }
+  TakeFromPeer(shards, peer, end, reply, begun);
+}
+
+void QueryRun::TakeFromPeer(const std::vector<size_t>& shards,
+                            const engine::Peer& peer, HandedEnd end,
+                            const HttpReply& reply, bool ran) {
+  for (const size_t i : shards) parts_[i].relayed = false;
+  NoteSpent(reply);
   const bool taken = end == HandedEnd::kAnswer && TakeRelayed(shards, reply);
   if (taken) KeepRest(shards, peer, reply);
   for (const size_t i : shards) {
     if (parts_[i].in || parts_[i].relayed || done_) continue;
-    // Servers may have run them; then asking again is a repeat.
-    if (begun) {
+    // What servers may have run is repeated by asking again.
+    if (ran) {
       RetryPart(i, true);
     } else {
       StartPart(i);
@@ -99,9 +111,8 @@
   std::vector<size_t> spent;
   for (size_t i = 0; i < parts_.size(); ++i) {
     const auto& it = parts_[i];
-    if (it.in || it.settled) continue;
-    const bool once = it.ran_on.size() < static_cast<size_t>(route_->attempts);
-    if (!once) spent.push_back(places_[i]);
+    if (it.in || it.settled || HasAttemptLeft(it)) continue;
+    spent.push_back(places_[i]);
   }
   return spent;
 }
--- a/packages/edge/src/query_rest.cc
+++ b/packages/edge/src/query_rest.cc
@@ -13,18 +13,12 @@
 #include "hibiscuspick/edge/query_run.h"
 
 namespace hibiscuspick::edge {
-namespace {
-
-// How long after the caller's time a peer may be heard.
-constexpr Millis kRestSlack{20};
-
-}  // namespace
 
 std::vector<size_t> QueryRun::OpenPlaces() const {
   std::vector<size_t> open;
   for (size_t i = 0; i < parts_.size(); ++i) {
     const auto& it = parts_[i];
-    if (it.in || it.failed || it.settled || it.deferred) continue;
+    if (it.IsOver() || it.deferred) continue;
     open.push_back(places_[i]);
   }
   return open;
@@ -79,32 +73,16 @@
 void QueryRun::AskForRest(const Rest& rest, size_t wanted) {
   const Millis left = clocks_.end_at - context_->loop->now();
   HandedQuery query;
-  query.config_version = config_->version;
   query.clocks.answer_in = Millis(0);
   query.clocks.end_in = left - context_->relay_lag.high;
   query.shards = rest.shards;
   query.rest = {rest.token, wanted};
-  HttpRequest sent = Forwarded();
-  AddHanded(query, &sent.headers);
-  relays_.push_back(context_->peers->Send(
-      rest.peer, ToText(sent), request_.method == "HEAD",
-      {left, left + kRestSlack},
+  AskPeer(
+      rest.peer, std::move(query), left,
       [self = shared_from_this(), rest](HandedEnd end, const HttpReply& reply) {
-        self->OnRest(rest, end, reply);
-      }));
-}
-
-void QueryRun::OnRest(const Rest& rest, HandedEnd end, const HttpReply& reply) {
-  if (done_) return;
-  for (const size_t i : rest.shards) parts_[i].relayed = false;
-  NoteSpent(reply);
-  const bool taken =
-      end == HandedEnd::kAnswer && TakeRelayed(rest.shards, reply);
-  if (taken) KeepRest(rest.shards, rest.peer, reply);
-  for (const size_t i : rest.shards) {
-    if (!parts_[i].in && !parts_[i].relayed && !done_) RetryPart(i, true);
-  }
-  if (!done_) Check();
+        if (self->done_) return;
+        self->TakeFromPeer(rest.shards, rest.peer, end, reply, true);
+      });
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -20,9 +20,7 @@
   auto& part = parts_[i];
   if (!part.open.empty() || part.waiting) return;
   const bool may_repeat = !ran || route_->repeat == engine::Repeat::kIdempotent;
-  const bool may_run =
-      part.ran_on.size() < static_cast<size_t>(route_->attempts);
-  if (!may_repeat || !may_run || part.refusals > kMostRefusals) {
+  if (!may_repeat || !HasAttemptLeft(part) || part.refusals > kMostRefusals) {
     part.failed = true;
     return;
   }
@@ -46,8 +44,11 @@
 
 bool QueryRun::MayHedge(const Part& part) const {
   return Uses().hedging && route_->repeat == engine::Repeat::kIdempotent &&
-         route_->attempts > 1 && part.open.size() == 1 &&
-         part.ran_on.size() < static_cast<size_t>(route_->attempts);
+         route_->attempts > 1 && part.open.size() == 1 && HasAttemptLeft(part);
+}
+
+bool QueryRun::HasAttemptLeft(const Part& part) const {
+  return part.ran_on.size() < static_cast<size_t>(route_->attempts);
 }
 
 // Of the parts in hand; a peer has some of a query's.
@@ -64,7 +65,7 @@
   std::vector<engine::PartView> missing;
   for (size_t i = 0; i < parts_.size(); ++i) {
     const auto& part = parts_[i];
-    if (part.in || part.failed || part.settled) continue;
+    if (part.IsOver()) continue;
     engine::PartView view;
     view.place = i;
     // A peer that has it looks after it.
@@ -88,7 +89,7 @@
   Millis next = kNever;
   const Millis now = context_->loop->now();
   for (const auto& part : parts_) {
-    if (part.in || part.failed || part.settled || !MayHedge(part)) continue;
+    if (part.IsOver() || !MayHedge(part)) continue;
     // One that is due already found no server or no budget: it looks again
     // after a quarter of the time.
     Millis at = part.open[0].since + pace_->hedge_after;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -277,15 +277,12 @@
     progress.in += it.in ? 1 : 0;
     progress.failed += (it.failed || it.deferred) && !it.in ? 1 : 0;
   }
-  if (!places_.empty()) {
+  if (places_.empty()) {
+    progress.needed = NeededOfAll();
+  } else {
     // What a peer lacks, or what is left that may come.
     progress.needed = std::clamp<size_t>(
         wanted_, 1, std::max<size_t>(progress.shards - progress.failed, 1));
-  } else if (route_->gather) {
-    progress.needed =
-        engine::PartsNeeded(route_->gather->least_share, parts_.size());
-  } else {
-    progress.needed = 1;
   }
   return progress;
 }
--- a/packages/edge/src/traffic_handover.cc
+++ b/packages/edge/src/traffic_handover.cc
@@ -12,6 +12,13 @@
 // A peer answers by its end; later it is lost.
 constexpr Millis kHandedSlack{100};
 
+// This instance holds nothing that fits what the peer asks by.
+void AnswerOtherVersion(HttpSession* session) {
+  HttpReply reply;
+  reply.status = kOtherVersion;
+  session->Reply(reply);
+}
+
 }  // namespace
 
 void TrafficServer::OnHanded(const std::shared_ptr<HttpSession>& session,
@@ -34,9 +41,7 @@
                                        return i < route->gather->shards.size();
                                      })));
   if (!fits) {
-    HttpReply reply;
-    reply.status = kOtherVersion;
-    session->Reply(reply);
+    AnswerOtherVersion(session.get());
     return;
   }
   Serve(session, std::move(request), *route, handed);
@@ -55,7 +60,7 @@
     if (IsUseless()) add(kCutOffHeader, "1");
   }
   add(kTookHeader, fmt::format("{:.2f}", outcome.took.count));
-  add(kBusyHeader, fmt::format("{:.2f}", busy_share_));
+  add(kBusyHeader, fmt::format("{:.2f}", peers_.own_busy()));
   if (query && !outcome.open.empty()) {
     // A number besides the id, since a caller may use an id once more.
     const std::string token = fmt::format("{}-{}", request_id, ++last_rest_);
@@ -77,16 +82,11 @@
                                 const HandedQuery& handed) {
   const auto found = rests_.extract(handed.rest.token);
   if (found.empty()) {
-    HttpReply reply;
-    reply.status = kOtherVersion;
-    session->Reply(reply);
+    AnswerOtherVersion(session.get());
     return;
   }
   const auto query = found.mapped();
-  session->set_on_gone([this, query] {
-    query->Cancel();
-    running_.erase(query);
-  });
+  CancelIfGone(session, query);
   const std::weak_ptr<QueryRun> weak = query;
   query->Resume(handed.clocks, handed.shards, handed.rest.wanted,
                 [this, session, weak,
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -153,8 +153,7 @@
   const Millis due = SteadyNow() + kDelayInterval;
   loop_->At(due, [this, due] {
     metrics_.ObserveDelay(SteadyNow() - due);
-    busy_share_ = loop_->TakeBusyShare();
-    peers_.SetOwnBusy(busy_share_);
+    peers_.SetOwnBusy(loop_->TakeBusyShare());
     MeasureDelay();
   });
 }
@@ -206,6 +205,7 @@
 }
 
 void TrafficServer::LookIfCutOff() {
+  if (!settings_.backends.mechanisms.told_cut_off) return;
   told_useless_ = loop_->now();
   // As if a question to each had been open for long enough.
   sounder_.SuspectAll(loop_->now() - engine::kQuiet);
@@ -319,10 +319,7 @@
     services = ServicesFor(route);
   }
   running_.insert(query);
-  session->set_on_gone([this, query] {
-    query->Cancel();
-    running_.erase(query);
-  });
+  CancelIfGone(session, query);
   const std::weak_ptr<QueryRun> weak = query;
   query->Start(
       services,
@@ -340,6 +337,14 @@
       });
 }
 
+void TrafficServer::CancelIfGone(const std::shared_ptr<HttpSession>& session,
+                                 const std::shared_ptr<QueryRun>& query) {
+  session->set_on_gone([this, query] {
+    query->Cancel();
+    running_.erase(query);
+  });
+}
+
 void TrafficServer::Stop(const std::function<void()>& done) {
   if (stopping_) return;
   stopping_ = true;
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -27,6 +27,25 @@
   return silent == table.silent.end() || now >= silent->second.until;
 }
 
+// The ablest first, equal ones by hash. The hashes are worked out once for
+// each, since an instance ranks hundreds several times a second. `peers`: in
+// the order of their ids, in which those of equal hash stay.
+std::vector<Peer> Ranked(const std::vector<const Peer*>& peers) {
+  std::vector<std::tuple<double, uint64_t, const Peer*>> keyed;
+  keyed.reserve(peers.size());
+  for (const auto* it : peers) {
+    keyed.emplace_back(-it->processor, Hash(it->id.text), it);
+  }
+  std::stable_sort(keyed.begin(), keyed.end(), [](auto& a, auto& b) {
+    return std::tie(std::get<0>(a), std::get<1>(a)) <
+           std::tie(std::get<0>(b), std::get<1>(b));
+  });
+  std::vector<Peer> ranked;
+  ranked.reserve(keyed.size());
+  for (const auto& it : keyed) ranked.push_back(*std::get<2>(it));
+  return ranked;
+}
+
 // The first in rank of each data centre.
 std::vector<Peer> FirstOfEach(const PeerTable& table, Millis now) {
   std::vector<Peer> first;
@@ -87,23 +106,13 @@
 
 std::vector<Peer> Ranking(const PeerTable& table, const DataCentreId& where,
                           Millis now) {
-  // Worked out once for each, since an instance ranks hundreds several times a
-  // second.
-  std::vector<std::tuple<double, uint64_t, const Peer*>> keyed;
+  std::vector<const Peer*> there;
   for (const auto& [id, peer] : table.peers) {
     if (peer.data_centre == where && IsThere(table, id, now)) {
-      keyed.emplace_back(-peer.processor, Hash(id.text), &peer);
+      there.push_back(&peer);
     }
   }
-  // Peers of equal hash stand in the order of their ids already.
-  std::stable_sort(keyed.begin(), keyed.end(), [](auto& a, auto& b) {
-    return std::tie(std::get<0>(a), std::get<1>(a)) <
-           std::tie(std::get<0>(b), std::get<1>(b));
-  });
-  std::vector<Peer> ranking;
-  ranking.reserve(keyed.size());
-  for (const auto& it : keyed) ranking.push_back(*std::get<2>(it));
-  return ranking;
+  return Ranked(there);
 }
 
 std::vector<Peer> PeersThere(const PeerTable& table, Millis now) {
@@ -148,11 +157,17 @@
   }
   std::vector<Peer> senders;
   if (most < least * kAbler) return senders;
-  for (const auto& where : DataCentres(table)) {
-    for (const auto& it : Ranking(table, where, now)) {
-      if (it.processor >= most) senders.push_back(it);
+  // Only these are ranked, since the others are hundreds.
+  std::map<DataCentreId, std::vector<const Peer*>> ablest;
+  for (const auto& [id, peer] : table.peers) {
+    if (peer.processor >= most && IsThere(table, id, now)) {
+      ablest[peer.data_centre].push_back(&peer);
     }
   }
+  for (const auto& [where, peers] : ablest) {
+    const auto ranked = Ranked(peers);
+    senders.insert(senders.end(), ranked.begin(), ranked.end());
+  }
   return senders;
 }
 
