Evacuated data centres get nothing until the entry is removed

Cause: evacuations/ZONE was read nowhere.

The traffic thread takes such servers out of reach at once: first and second attempts, parts of relays, probes, the outlook by which queries are admitted. A part that waits at a service without any other server is refused, with a Retry-After of two seconds, since operators end an evacuation and not the next probe.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -103,6 +104,12 @@
   ~Backends();
 
   void SetServers(const std::vector<engine::ServerEntry>& entries);
+  // Servers in these data centres get no attempts and no probes. Attempts that
+  // they have already may end there.
+  void SetEvacuated(std::set<DataCentreId> places);
+  const std::set<DataCentreId>& evacuated() const { return evacuated_; }
+  // Whether all servers of the service that stay are in evacuated data centres.
+  bool IsEvacuated(const ServiceId& service) const;
   // This instance's part of the connections that each server of the service
   // takes and of the slack in the service's budget.
   void SetShare(const ServiceId& service, int connections, double slack);
@@ -173,6 +180,7 @@
   void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply);
   void KeepChannel(const std::shared_ptr<Server>& server,
                    const std::shared_ptr<HttpChannel>& channel);
+  bool IsEvacuated(const Server& server) const;
   bool IsInReach(const Server& server) const;
   void NoteHeard(Server* server);
   void NoteUnheard(const Server& server);
@@ -194,6 +202,7 @@
   Sounder* const sounder_;
   // When the sender of this data centre last said that it is cut off.
   std::optional<Millis> told_cut_off_;
+  std::set<DataCentreId> evacuated_;
   std::unordered_map<BackendServerId, std::shared_ptr<Server>> servers_;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> services_;
   std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -66,6 +67,9 @@
   // with a lower version than the one held is passed over.
   void SetConfig(std::shared_ptr<const engine::TrafficConfig> config);
   void SetServers(const std::vector<engine::ServerEntry>& entries);
+  // Servers in these data centres get nothing from now on. Before the first
+  // SetServers, with which requests begin to be served.
+  void SetEvacuated(const std::set<DataCentreId>& places);
   // This instance among `instances`, of which some send fan-outs for all, and
   // some, or the same, ask for parts near them.
   void SetPeers(const engine::Peer& own,
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -195,7 +195,10 @@
                        EndAttempt(id, AttemptEnd::kNotSent, {});
                        return;
                      }
-                     if (wanted) {
+                     if (wanted && IsEvacuated(*server)) {
+                       KeepChannel(server, channel);
+                       EndAttempt(id, AttemptEnd::kNotSent, {});
+                     } else if (wanted) {
                        attempts_.at(id)->sent = loop_->now();
                        SendOn(channel, id);
                      } else {
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -30,6 +30,7 @@
 
 std::vector<Address> Backends::AddressesIn(const DataCentreId& where) {
   std::vector<Address> found;
+  if (evacuated_.contains(where)) return found;
   for (const auto& [id, it] : servers_) {
     const auto& entry = it->belief.entry;
     if (it->belief.removed || entry.data_centre != where) continue;
@@ -44,7 +45,7 @@
 }
 
 bool Backends::IsInReach(const Server& server) const {
-  return engine::IsWithinReach(server.belief) &&
+  return engine::IsWithinReach(server.belief) && !IsEvacuated(server) &&
          !sounder_->IsLost(server.belief.entry.data_centre);
 }
 
@@ -116,6 +117,11 @@
   server->probing = true;
   loop_->At(loop_->now() + policy_.probe_interval, [this, server] {
     if (server->belief.removed) return;
+    if (IsEvacuated(*server)) {
+      // SetEvacuated probes it when the data centre is open again.
+      server->probing = false;
+      return;
+    }
     auto channel = std::make_shared<HttpChannel>(loop_);
     channel->Connect(server->belief.entry.address, policy_.connect_timeout,
                      [this, server, channel](bool ok) {
--- a/packages/edge/src/backends_servers.cc
+++ b/packages/edge/src/backends_servers.cc
@@ -95,6 +95,32 @@
   for (const auto& it : gone) RemoveServer(it);
 }
 
+void Backends::SetEvacuated(std::set<DataCentreId> places) {
+  const auto before = std::exchange(evacuated_, std::move(places));
+  for (const auto& [id, server] : servers_) {
+    const bool opened = before.contains(server->belief.entry.data_centre) &&
+                        !IsEvacuated(*server);
+    if (opened && server->belief.unreachable) Probe(server);
+  }
+  for (const auto& [id, state] : services_) PumpSoon(id);
+}
+
+bool Backends::IsEvacuated(const Server& server) const {
+  return evacuated_.contains(server.belief.entry.data_centre);
+}
+
+bool Backends::IsEvacuated(const ServiceId& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return false;
+  bool any = false;
+  for (const auto& it : found->second->servers) {
+    if (it->belief.removed || it->belief.draining) continue;
+    if (!IsEvacuated(*it)) return false;
+    any = true;
+  }
+  return any;
+}
+
 std::vector<DataCentreId> Backends::PlacesOf(
     const std::vector<ServiceId>& services) const {
   std::map<DataCentreId, size_t> counts;
@@ -103,7 +129,8 @@
     if (found == services_.end()) continue;
     std::set<DataCentreId> places;
     for (const auto& it : found->second->servers) {
-      if (!it->belief.removed) places.insert(it->belief.entry.data_centre);
+      if (it->belief.removed || IsEvacuated(*it)) continue;
+      places.insert(it->belief.entry.data_centre);
     }
     for (const auto& it : places) ++counts[it];
   }
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -20,6 +20,9 @@
 // Callers that came back after 50 ms were refused again and were lost.
 constexpr Millis kBalancerNotices{2000};
 
+// An evacuation ends when an operator says so, seconds from now at least.
+constexpr Millis kEvacuationLasts{2000};
+
 }  // namespace
 
 std::string_view FaultName(QueryFault fault) {
@@ -101,9 +104,12 @@
 
 // When it is worth coming back after no server could be reached.
 Millis QueryRun::BackAfterNoServer() const {
-  return context_->backends->IsCutOff()
-             ? kBalancerNotices
-             : context_->backends->policy().probe_interval;
+  const auto& backends = *context_->backends;
+  if (backends.IsCutOff()) return kBalancerNotices;
+  const bool evacuated =
+      std::any_of(parts_.begin(), parts_.end(),
+                  [&](auto& it) { return backends.IsEvacuated(it.service); });
+  return evacuated ? kEvacuationLasts : backends.policy().probe_interval;
 }
 
 void QueryRun::Fail(QueryFault fault) {
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -136,7 +136,14 @@
   waiting.start = [self = shared_from_this(), i, extra] {
     auto& it = self->parts_[i];
     if (self->done_ || it.in || it.failed) return true;
-    if (!self->TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) return false;
+    if (!self->TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) {
+      if (self->context_->backends->HasServerInReach(it.service)) return false;
+      // Its last server has gone while it waited.
+      it.waiting.reset();
+      it.failed = true;
+      self->Check();
+      return true;
+    }
     it.waiting.reset();
     self->ArmTimer();
     return true;
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -167,6 +167,10 @@
   registry->AddGauge("hibiscuspick_edge_ready",
                      "1 if the balancer is told to send callers", {},
                      [this] { return IsReady() ? 1 : 0; });
+  registry->AddGauge(
+      "hibiscuspick_edge_evacuated_data_centres",
+      "Data centres whose servers get nothing until the entry is removed", {},
+      [this] { return static_cast<double>(backends_.evacuated().size()); });
   registry->AddGauge("hibiscuspick_edge_queries_running",
                      "Queries without an answer yet", {},
                      [this] { return static_cast<double>(running_.size()); });
@@ -244,6 +248,10 @@
   if (config_) early_.Release();
 }
 
+void TrafficServer::SetEvacuated(const std::set<DataCentreId>& places) {
+  backends_.SetEvacuated(places);
+}
+
 engine::RoutePace* TrafficServer::PaceOf(const engine::Route& route) {
   auto& pace = paces_[route.id];
   if (!pace) {
--- /dev/null
+++ b/packages/edge/tests/evacuation_test.cc
@@ -0,0 +1,137 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "traffic_fixture.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+RawServer::Script Answers() {
+  return [](const std::string& request) {
+    return Scripted{.text = GoodAnswer(request, "stamp", "here")};
+  };
+}
+
+RawServer::Script Silent() {
+  return [](const std::string&) {
+    return Scripted{.text = "", .silent = true};
+  };
+}
+
+// A plain route over one service with a server in `here` and one in `there`.
+class Pair : public TrafficFixture {
+ public:
+  Pair(const RawServer::Script& here, const RawServer::Script& there) {
+    auto& route = AddRoute("/p/");
+    route.split = {{ServiceId("s"), 1}};
+    route.repeat = engine::Repeat::kIdempotent;
+    AddServer("s", here);
+    AddServer("s", there);
+    entries()[1].data_centre = DataCentreId("there");
+    Publish();
+  }
+  void Evacuate(const std::set<DataCentreId>& places) {
+    OnLoop([&] { server().SetEvacuated(places); });
+  }
+  size_t RequestsAt(size_t i) { return servers()[i]->requests().size(); }
+};
+
+const DataCentreId kHere("dc");
+const DataCentreId kThere("there");
+
+// Failure: servers of a data centre that operators evacuate go on getting
+// requests, or get none after it is open again.
+BOOST_AUTO_TEST_CASE(EvacuatedServersGetNothingUntilTheEnd) {
+  Pair pair(Answers(), Answers());
+  pair.Ask("GET /p/x");
+  BOOST_TEST(pair.RequestsAt(0) == 1);
+  pair.Evacuate({kHere});
+  for (int n = 0; n < 10; ++n) {
+    BOOST_TEST(pair.Ask("GET /p/x").starts_with("HTTP/1.1 200 "));
+  }
+  BOOST_TEST(pair.RequestsAt(0) == 1);
+  BOOST_TEST(pair.RequestsAt(1) == 10);
+  pair.Evacuate({kThere});
+  BOOST_TEST(pair.Ask("GET /p/x").starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(pair.RequestsAt(0) == 2);
+  pair.Evacuate({});
+  BOOST_TEST(pair.Ask("GET /p/x").starts_with("HTTP/1.1 200 "));
+}
+
+// Failure: the second attempt after a failure goes to an evacuated server.
+BOOST_AUTO_TEST_CASE(RepeatsKeepAwayFromEvacuatedServers) {
+  Pair pair([](auto&) { return Scripted{.text = "", .resets = true}; },
+            Answers());
+  pair.Evacuate({kThere});
+  for (int n = 0; n < 4; ++n) pair.Ask("GET /p/x");
+  BOOST_TEST(pair.RequestsAt(1) == 0);
+}
+
+// Failure: the second attempt instead of a late one goes to an evacuated server.
+BOOST_AUTO_TEST_CASE(HedgesKeepAwayFromEvacuatedServers) {
+  Pair pair(Silent(), Answers());
+  pair.Evacuate({kThere});
+  RawClient client(pair.port());
+  client.Say(Pair::RequestText("GET /p/x"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  BOOST_TEST(pair.RequestsAt(0) == 1);
+  BOOST_TEST(pair.RequestsAt(1) == 0);
+}
+
+// Failure: a service whose servers are all evacuated keeps its callers waiting,
+// or tells them to come back when nothing can have changed.
+BOOST_AUTO_TEST_CASE(ServicesWithoutOtherServersRefuseAtOnce) {
+  Pair pair(Answers(), Answers());
+  pair.Evacuate({kHere, kThere});
+  const Millis began = SteadyNow();
+  const auto answer = pair.Ask("GET /p/x");
+  BOOST_TEST((SteadyNow() - began).count < 300);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(std::strtod(HeaderIn(answer, "Retry-After").c_str(), nullptr) >=
+             1);
+}
+
+// Failure: a request that waits for room at a service that is evacuated
+// meanwhile waits until its time is up.
+BOOST_AUTO_TEST_CASE(WaitingRequestsAreRefusedWhenTheirServersAreEvacuated) {
+  Pair pair(Silent(), Silent());
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int n = 0; n < 12; ++n) {
+    clients.push_back(std::make_unique<RawClient>(pair.port()));
+    clients.back()->Say(Pair::RequestText("POST /p/x"));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const size_t sent = pair.RequestsAt(0) + pair.RequestsAt(1);
+  BOOST_TEST_REQUIRE(sent < clients.size());
+  const Millis began = SteadyNow();
+  pair.Evacuate({kHere, kThere});
+  const auto answer = clients.back()->Hear("\r\n\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST((SteadyNow() - began).count < 300);
+  BOOST_TEST(pair.RequestsAt(0) + pair.RequestsAt(1) == sent);
+}
+
+// Failure: a server that went out of reach is probed while it is evacuated, or
+// isn't found again after the end.
+BOOST_AUTO_TEST_CASE(UnreachableServersAreProbedAfterTheEnd) {
+  Pair pair(Answers(), Answers());
+  const uint16_t port = FreePort();
+  pair.entries()[0].address.port = port;
+  pair.Publish(2);
+  pair.Ask("GET /p/x");
+  pair.Evacuate({kHere});
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  const int listener = ListenAt(port);
+  pollfd wait{listener, POLLIN, 0};
+  BOOST_TEST(poll(&wait, 1, 700) == 0);
+  pair.Evacuate({});
+  BOOST_TEST(poll(&wait, 1, 2000) == 1);
+  close(listener);
+}
+
+}  // namespace
+}  // namespace hibiscuspick::edge
