Cold servers are bounded over all instances, and routes are kept to their homes

A service may state how many requests a second each of its servers takes while it is cold. The bound is shared like connections and slack (engine/cold_start), in whole requests, a fifth of it kept for moments in which instances differ in who sends; the window is longer than the second by the time a connection takes. Cold is what the directory or a reply says; a server of a data centre that is open again, or that was out of reach, is taken for cold until its warm-up time is over. Admission counts what it takes.

A route's homes are decoded to data centres by the regions in the settings. They bind servers, the peer that a query is handed to and the peers that are asked for parts.

Tests: cold_start_test (sums, rounding, a play of all instances with connections that wait), cold_servers_test, decode_test, peers_test.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -16,6 +16,7 @@
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/sounder.h"
+#include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/extra_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/server_belief.h"
@@ -54,6 +55,8 @@
   Millis overdue_after;
   // Servers that must not get it.
   std::vector<BackendServerId> excluded;
+  // Of the route, which outlives it; all data centres if not set.
+  const engine::Homes* homes = nullptr;
   // Only a server that isn't suspected of standing still.
   bool only_unsuspected = false;
   // The request as it is sent to that server.
@@ -65,6 +68,18 @@
   std::function<void(AttemptResult)> on_end;
 };
 
+// This instance's part of what the servers of a service take.
+struct ServiceShare {
+  // Connections to each of them.
+  int connections = 2;
+  // Of the slack in the service's budget of extra attempts.
+  double slack = 0;
+  // Requests to a cold one within engine::kColdWindow; nothing for no bound.
+  std::optional<int> when_cold;
+  // How long one is taken to be cold that may be and doesn't say.
+  Millis warmup;
+};
+
 struct BackendsPolicy {
   engine::ChoicePolicy choice;
   settings::Mechanisms mechanisms;
@@ -110,9 +125,7 @@
   const std::set<DataCentreId>& evacuated() const { return evacuated_; }
   // Whether all servers of the service that stay are in evacuated data centres.
   bool IsEvacuated(const ServiceId& service) const;
-  // This instance's part of the connections that each server of the service
-  // takes and of the slack in the service's budget.
-  void SetShare(const ServiceId& service, int connections, double slack);
+  void SetShare(const ServiceId& service, const ServiceShare& share);
 
   // Starts an attempt at the best server; nothing if none takes one now.
   std::optional<StartedAttempt> TryStart(AttemptOrder order);
@@ -134,17 +147,20 @@
   void CountRequest(const ServiceId& service);
   const BackendsPolicy& policy() const { return policy_; }
   size_t open_attempts() const { return attempts_.size(); }
-  bool HasServerInReach(const ServiceId& service) const;
+  bool HasServerInReach(const ServiceId& service,
+                        const engine::Homes& homes) const;
   // What a part due at that instant would meet at the service; nothing if none
   // of its servers can be reached.
   std::optional<engine::ShardOutlook> Outlook(const ServiceId& service,
-                                              Millis usual, Millis due) const;
+                                              Millis usual, Millis due,
+                                              const engine::Homes& homes) const;
   // The data centres that have servers of nearly all of the services.
-  std::vector<DataCentreId> PlacesOf(
-      const std::vector<ServiceId>& services) const;
+  std::vector<DataCentreId> PlacesOf(const std::vector<ServiceId>& services,
+                                     const engine::Homes& homes) const;
   // The data centres that have a server of it which can be reached and isn't
   // suspected of standing still.
-  std::vector<DataCentreId> PlacesOfService(const ServiceId& service) const;
+  std::vector<DataCentreId> PlacesOfService(const ServiceId& service,
+                                            const engine::Homes& homes) const;
   // Addresses of servers in a data centre that may be in reach, other ones each
   // time.
   std::vector<Address> AddressesIn(const DataCentreId& where);
@@ -164,6 +180,8 @@
   void NoteForeign(const AttemptResult& result);
   void NoteFailure(const AttemptResult& result);
   void NoteReply(const AttemptResult& result, Millis usual);
+  // The server said how much longer it is cold.
+  void NoteWarmup(const AttemptResult& result, Millis left);
 
  private:
   struct Server;
@@ -182,6 +200,10 @@
                    const std::shared_ptr<HttpChannel>& channel);
   bool IsEvacuated(const Server& server) const;
   bool IsInReach(const Server& server) const;
+  // Within reach, and where the route's requests may go.
+  bool MayServe(const Server& server, const engine::Homes& homes) const;
+  // It is back, and may be cold without having said so yet.
+  void TakeForCold(Server* server);
   void NoteHeard(Server* server);
   void NoteUnheard(const Server& server);
   void Probe(const std::shared_ptr<Server>& server);
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -13,6 +13,7 @@
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/query_run.h"
 #include "hibiscuspick/edge/sounder.h"
+#include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/peers.h"
 
 namespace hibiscuspick::edge {
@@ -88,16 +89,17 @@
                 const std::vector<engine::Peer>& senders,
                 const std::vector<engine::Peer>& relays);
   const std::vector<engine::Peer>& senders() const { return senders_; }
-  bool IsSender() const;
-  // Whether it is the first of its data centre's senders.
-  bool IsFirstSender() const;
   // The share of its time that this instance is at work.
   void SetOwnBusy(double share) { own_busy_ = share; }
   double own_busy() const { return own_busy_; }
 
-  // The peer that a query over shards in these data centres goes to; nullptr if
-  // this instance sends it itself.
-  const engine::Peer* Choose(const std::vector<DataCentreId>& places);
+  // The peer that a query over shards in these data centres goes to, of those
+  // that `homes` allow; nothing if this instance sends it itself.
+  std::optional<engine::Peer> Choose(const std::vector<DataCentreId>& places,
+                                     const engine::Homes& homes);
+  // Its role among those that send fan-outs, and its place there; one that
+  // isn't among them has no place.
+  engine::GroupRank Rank() const;
 
   // A peer in that data centre that takes parts of queries, another one each
   // time; nullptr if none is within reach.
@@ -122,7 +124,6 @@
 
  private:
   struct Open;
-  bool IsAmong(const std::vector<engine::Peer>& peers) const;
   bool IsAvoided(const InstanceId& peer) const;
   // What a sender has said of late; one that said nothing isn't known to be.
   double BusyShare(const InstanceId& peer) const;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -222,6 +222,8 @@
   bool IsOurs(const HttpReply& reply) const;
   void OnAttempt(size_t i, AttemptResult result);
   bool IsGood(const HttpReply& reply) const;
+  // Takes the server's word on how much longer it is cold.
+  void NoteWarmup(const AttemptResult& result);
   void OnFailed(size_t i, const AttemptResult& result);
   void RetryPart(size_t i, bool ran);
   void HedgeParts();
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -42,6 +42,8 @@
   BackendsPolicy backends;
   // The slack in each service's budget of extra attempts, for all instances.
   double extra_slack = 0;
+  // What a cold server gets beyond its service's bound.
+  engine::ColdLimits cold;
   // Instances until the number is known.
   size_t instances = 8;
   Millis answer_margin{9};
@@ -70,11 +72,17 @@
   // Servers in these data centres get nothing from now on. Before the first
   // SetServers, with which requests begin to be served.
   void SetEvacuated(const std::set<DataCentreId>& places);
-  // This instance among `instances`, of which some send fan-outs for all, and
+  // This instance among all, of which some send fan-outs for the others, and
   // some, or the same, ask for parts near them.
+  struct Place {
+    size_t instances = 1;
+    // Of these before it in an order that all agree on.
+    size_t rank = 0;
+  };
   void SetPeers(const engine::Peer& own,
                 const std::vector<engine::Peer>& senders,
-                const std::vector<engine::Peer>& relays, size_t instances);
+                const std::vector<engine::Peer>& relays,
+                const Place& own_place);
   // Some instances of each other data centre, by which it is found out whether
   // that can be reached.
   void SetSounded(const std::vector<engine::Peer>& peers);
@@ -148,7 +156,7 @@
   HttpListener queries_;
   PeerSender peers_;
   QueryMetrics metrics_;
-  size_t instances_;
+  Place place_;
   // What handing a query over costs in time, beside the peer's own, within the
   // data centre and to another. The first guess is a way and a half.
   engine::LagMeter near_lag_{Millis(4)};
--- a/packages/edge/include/hibiscuspick/edge/wire_names.h
+++ b/packages/edge/include/hibiscuspick/edge/wire_names.h
@@ -17,6 +17,8 @@
   std::string expect_instance;
   // A server's word that it has not run the request.
   std::string not_run;
+  // How many milliseconds longer a server is cold.
+  std::string warmup;
   // The receipts of the parts of a merged answer, and how many shards lack.
   std::string part_stamps;
   std::string parts_missing;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -54,7 +54,7 @@
 
 engine::ExtraLimits Backends::LimitsOf(const ServiceState& state) const {
   auto limits = policy_.extra;
-  limits.slack = state.slack;
+  limits.slack = state.share.slack;
   return limits;
 }
 
@@ -73,24 +73,24 @@
   engine::CountRequest(&state.extra, LimitsOf(state), loop_->now());
 }
 
-void Backends::SetShare(const ServiceId& service, int connections,
-                        double slack) {
+void Backends::SetShare(const ServiceId& service, const ServiceShare& share) {
   auto& state = StateOf(service);
-  state.max_channels = std::max(1, connections);
-  state.slack = slack;
+  state.share = share;
+  state.share.connections = std::max(1, share.connections);
 }
 
-bool Backends::HasServerInReach(const ServiceId& service) const {
+bool Backends::HasServerInReach(const ServiceId& service,
+                                const engine::Homes& homes) const {
   const auto found = services_.find(service);
   if (found == services_.end()) return false;
   const auto& servers = found->second->servers;
   return std::any_of(servers.begin(), servers.end(),
-                     [&](auto& it) { return IsInReach(*it); });
+                     [&](auto& it) { return MayServe(*it, homes); });
 }
 
-std::optional<engine::ShardOutlook> Backends::Outlook(const ServiceId& service,
-                                                      Millis usual,
-                                                      Millis due) const {
+std::optional<engine::ShardOutlook> Backends::Outlook(
+    const ServiceId& service, Millis usual, Millis due,
+    const engine::Homes& homes) const {
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
   const auto& state = *found->second;
@@ -98,12 +98,18 @@
   double at_once = 0;
   for (const auto& it : state.servers) {
     const auto& belief = it->belief;
-    if (!IsInReach(*it)) continue;
+    if (!MayServe(*it, homes)) continue;
     const Millis cost =
         usual * engine::SlownessNow(belief, policy_.choice, loop_->now());
     fastest = fastest ? Min(*fastest, cost) : cost;
-    at_once += static_cast<double>(engine::OpenLimit(belief, policy_.choice)) *
-               (usual.count / cost.count);
+    double here =
+        static_cast<double>(engine::OpenLimit(belief, policy_.choice)) *
+        (usual.count / cost.count);
+    if (state.share.when_cold && loop_->now() < belief.warm_at) {
+      here = std::min(here, *state.share.when_cold *
+                                (usual.count / engine::kColdWindow.count));
+    }
+    at_once += here;
   }
   if (!fastest) return std::nullopt;
   engine::ShardOutlook outlook{Millis(0), *fastest, Millis(0)};
@@ -121,7 +127,8 @@
   auto& state = StateOf(order.service);
   const Millis now = loop_->now();
   auto choice = policy_.choice;
-  choice.most_open = std::min(choice.most_open, state.max_channels);
+  choice.most_open = std::min(choice.most_open, state.share.connections);
+  choice.when_cold = state.share.when_cold;
   if (policy_.mechanisms.dearer_failing &&
       !HasExtra(order.budget_of, engine::kKeptForNeed)) {
     choice.failure_cost = choice.unpaid_failure_cost;
@@ -133,7 +140,9 @@
   for (size_t i = 0; i < n; ++i) {
     Server* server = state.servers[(i + state.turn) % n].get();
     const auto& belief = server->belief;
-    if (!IsInReach(*server)) continue;
+    if (!MayServe(*server, order.homes ? *order.homes : engine::Homes())) {
+      continue;
+    }
     if (order.only_unsuspected && engine::IsSuspected(belief, now)) continue;
     if (std::find(order.excluded.begin(), order.excluded.end(),
                   belief.entry.id) != order.excluded.end()) {
@@ -153,6 +162,9 @@
   const AttemptId id(++last_attempt_);
   engine::NoteSent(&server->belief,
                    {id, loop_->now(), loop_->now() + order.overdue_after});
+  if (StateOf(order.service).share.when_cold) {
+    engine::AddSent(&server->belief.sent_lately, loop_->now());
+  }
   auto attempt = std::make_unique<Attempt>();
   attempt->server = server;
   attempt->order = std::move(order);
@@ -307,6 +319,10 @@
                       loop_->now());
 }
 
+void Backends::NoteWarmup(const AttemptResult& result, Millis left) {
+  result.belief->warm_at = loop_->now() + left;
+}
+
 void Backends::NoteReply(const AttemptResult& result, Millis usual) {
   engine::NoteReply(result.belief.get(), result.id, result.latency, usual,
                     policy_.choice, loop_->now());
--- a/packages/edge/src/backends_impl.h
+++ b/packages/edge/src/backends_impl.h
@@ -28,9 +28,8 @@
   ServiceId id;
   std::vector<std::shared_ptr<Server>> servers;
   engine::ExtraBudget extra;
-  double slack = 0;
+  ServiceShare share;
   std::map<WaitKey, Waiting> waiting;
-  int max_channels = 2;
   size_t turn = 0;
   Loop::TimerId timer = 0;
   bool pump_posted = false;
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -49,6 +49,19 @@
          !sounder_->IsLost(server.belief.entry.data_centre);
 }
 
+bool Backends::MayServe(const Server& server,
+                        const engine::Homes& homes) const {
+  return IsInReach(server) &&
+         engine::IsHome(homes, server.belief.entry.data_centre);
+}
+
+void Backends::TakeForCold(Server* server) {
+  const auto& share = StateOf(server->belief.entry.service).share;
+  if (!share.when_cold) return;
+  server->belief.warm_at =
+      Max(server->belief.warm_at, loop_->now() + share.warmup);
+}
+
 bool Backends::IsToldCutOff() const {
   return told_cut_off_ && loop_->now() - *told_cut_off_ < kToldCutOff &&
          sounder_->heard_elsewhere() <= *told_cut_off_;
@@ -136,6 +149,7 @@
                            .info("server {} is back",
                                  server->belief.entry.id.text);
                        KeepChannel(server, channel);
+                       TakeForCold(server.get());
                        PumpSoon(server->belief.entry.service);
                      });
   });
--- a/packages/edge/src/backends_servers.cc
+++ b/packages/edge/src/backends_servers.cc
@@ -100,6 +100,7 @@
   for (const auto& [id, server] : servers_) {
     const bool opened = before.contains(server->belief.entry.data_centre) &&
                         !IsEvacuated(*server);
+    if (opened) TakeForCold(server.get());
     if (opened && server->belief.unreachable) Probe(server);
   }
   for (const auto& [id, state] : services_) PumpSoon(id);
@@ -122,15 +123,16 @@
 }
 
 std::vector<DataCentreId> Backends::PlacesOf(
-    const std::vector<ServiceId>& services) const {
+    const std::vector<ServiceId>& services, const engine::Homes& homes) const {
   std::map<DataCentreId, size_t> counts;
   for (const auto& service : services) {
     const auto found = services_.find(service);
     if (found == services_.end()) continue;
     std::set<DataCentreId> places;
     for (const auto& it : found->second->servers) {
+      const auto& where = it->belief.entry.data_centre;
       if (it->belief.removed || IsEvacuated(*it)) continue;
-      places.insert(it->belief.entry.data_centre);
+      if (engine::IsHome(homes, where)) places.insert(where);
     }
     for (const auto& it : places) ++counts[it];
   }
@@ -148,13 +150,13 @@
 }
 
 std::vector<DataCentreId> Backends::PlacesOfService(
-    const ServiceId& service) const {
+    const ServiceId& service, const engine::Homes& homes) const {
   std::vector<DataCentreId> places;
   const auto found = services_.find(service);
   if (found == services_.end()) return places;
   for (const auto& it : found->second->servers) {
     const auto& belief = it->belief;
-    if (!IsInReach(*it) || engine::IsSuspected(belief, loop_->now())) {
+    if (!MayServe(*it, homes) || engine::IsSuspected(belief, loop_->now())) {
       continue;
     }
     const auto& place = belief.entry.data_centre;
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -189,15 +189,26 @@
   return idle != there.end() ? *idle : there.front();
 }
 
-bool PeerSender::IsAmong(const std::vector<engine::Peer>& peers) const {
-  return own_ && std::any_of(peers.begin(), peers.end(),
-                             [&](auto& it) { return it.id == own_->id; });
-}
-
-bool PeerSender::IsSender() const { return IsAmong(senders_); }
-
-bool PeerSender::IsFirstSender() const {
-  return IsAmong(engine::FirstSenders(senders_));
+engine::GroupRank PeerSender::Rank() const {
+  using engine::SenderRole;
+  if (!own_) return {};
+  const auto first = engine::FirstSenders(senders_);
+  const auto is_own = [&](auto& it) { return it.id == own_->id; };
+  const auto place_in = [&](const auto& all) {
+    return static_cast<size_t>(std::find_if(all.begin(), all.end(), is_own) -
+                               all.begin());
+  };
+  const size_t as_first = place_in(first);
+  if (as_first < first.size()) return {SenderRole::kFirst, as_first};
+  const size_t among_all = place_in(senders_);
+  if (among_all == senders_.size()) return {};
+  // Those before it that are first don't count among the stand-ins.
+  const auto end = senders_.begin() + static_cast<std::ptrdiff_t>(among_all);
+  const auto before = std::count_if(senders_.begin(), end, [&](auto& it) {
+    return std::any_of(first.begin(), first.end(),
+                       [&](auto& other) { return other.id == it.id; });
+  });
+  return {SenderRole::kStandIn, among_all - static_cast<size_t>(before)};
 }
 
 double PeerSender::BusyShare(const InstanceId& peer) const {
@@ -214,23 +225,18 @@
   busy_[peer] = {std::strtod(said.c_str(), nullptr), loop_->now()};
 }
 
-const engine::Peer* PeerSender::Choose(
-    const std::vector<DataCentreId>& places) {
-  if (!own_ || senders_.empty()) return nullptr;
-  std::vector<engine::Peer> there;
-  for (const auto& it : senders_) {
-    if (!IsAvoided(it.id) && !sounder_->IsLost(it.data_centre)) {
-      there.push_back(it);
-    }
-  }
+std::optional<engine::Peer> PeerSender::Choose(
+    const std::vector<DataCentreId>& places, const engine::Homes& homes) {
+  if (!own_ || senders_.empty()) return std::nullopt;
+  auto there = engine::SendersAtHome(senders_, homes);
+  std::erase_if(there, [&](auto& it) {
+    return IsAvoided(it.id) || sounder_->IsLost(it.data_centre);
+  });
   const auto* chosen =
       engine::SenderFor(there, *own_, places, ++turn_,
                         [this](const auto& it) { return BusyShare(it); });
-  if (chosen == nullptr) return nullptr;
-  const auto found =
-      std::find_if(senders_.begin(), senders_.end(),
-                   [&](auto& it) { return it.id == chosen->id; });
-  return &*found;
+  if (chosen == nullptr) return std::nullopt;
+  return *chosen;
 }
 
 std::function<void()> PeerSender::Send(const engine::Peer& peer,
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -25,7 +25,8 @@
   }
   std::vector<std::vector<DataCentreId>> places(parts_.size());
   for (const size_t i : asked) {
-    places[i] = context_->backends->PlacesOfService(parts_[i].service);
+    places[i] =
+        context_->backends->PlacesOfService(parts_[i].service, route_->homes);
   }
   const auto groups = engine::GroupRelays(
       places, context_->backends->policy().choice.own_data_centre,
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -34,7 +34,8 @@
                               : Extra::kOptional;
   if (TryPart(i, kind)) return;
   auto& backends = *context_->backends;
-  if (!backends.HasServerInReach(part.service) || kind == Extra::kOptional ||
+  if (!backends.HasServerInReach(part.service, route_->homes) ||
+      kind == Extra::kOptional ||
       (extra && !backends.HasExtra(budget_of_, 0))) {
     part.failed = true;
     return;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -92,8 +92,8 @@
 bool QueryRun::StartParts() {
   std::vector<std::optional<engine::ShardOutlook>> outlooks;
   for (const auto& it : parts_) {
-    outlooks.push_back(context_->backends->Outlook(it.service, pace_->usual,
-                                                   clocks_.answer_at));
+    outlooks.push_back(context_->backends->Outlook(
+        it.service, pace_->usual, clocks_.answer_at, route_->homes));
   }
   const size_t needed = Progress().needed;
   const Millis to_target = clocks_.answer_at - began_;
@@ -137,7 +137,10 @@
     auto& it = self->parts_[i];
     if (self->done_ || it.in || it.failed) return true;
     if (!self->TryPart(i, extra ? Extra::kNeeded : Extra::kNone)) {
-      if (self->context_->backends->HasServerInReach(it.service)) return false;
+      const auto& backends = *self->context_->backends;
+      if (backends.HasServerInReach(it.service, self->route_->homes)) {
+        return false;
+      }
       // Its last server has gone while it waited.
       it.waiting.reset();
       it.failed = true;
@@ -182,6 +185,7 @@
   order.overdue_after = pace_->hedge_after;
   order.excluded = parts_[i].ran_on;
   for (const auto& it : parts_[i].open) order.excluded.push_back(it.server);
+  order.homes = &route_->homes;
   order.to_head = request_.method == "HEAD";
   order.once = route_->repeat == Repeat::kOnce;
   const auto self = shared_from_this();
@@ -231,11 +235,19 @@
          FindHeader(reply.headers, "Content-Encoding").empty();
 }
 
+void QueryRun::NoteWarmup(const AttemptResult& result) {
+  const auto said =
+      WholeNumber(FindHeader(result.reply.headers, context_->names->warmup));
+  if (!said || *said < 0) return;
+  context_->backends->NoteWarmup(result, Millis(static_cast<double>(*said)));
+}
+
 void QueryRun::OnAttempt(size_t i, AttemptResult result) {
   auto& part = parts_[i];
   std::erase_if(part.open, [&](auto& it) { return it.id == result.id; });
   auto& backends = *context_->backends;
   const bool whole = result.end == AttemptEnd::kReply;
+  if (whole) NoteWarmup(result);
   if (whole && IsGood(result.reply)) {
     backends.NoteReply(result, pace_->usual);
     engine::AddLatency(pace_, result.latency, route_->target);
--- a/packages/edge/src/traffic_handover.cc
+++ b/packages/edge/src/traffic_handover.cc
@@ -102,8 +102,9 @@
                              const HttpRequest& request,
                              const engine::Route& route) {
   if (!route.gather || peers_.senders().empty()) return false;
-  const auto* peer = peers_.Choose(backends_.PlacesOf(route.gather->shards));
-  if (peer == nullptr) return false;
+  const auto peer = peers_.Choose(
+      backends_.PlacesOf(route.gather->shards, route.homes), route.homes);
+  if (!peer) return false;
   HandedQuery query;
   query.config_version = config_->version;
   query.clocks = QueryRun::ClocksFor(context_, route, PaceOf(route), request);
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -37,7 +37,7 @@
       readiness_(loop, ReadinessPolicy()),
       queries_(loop, QueriesPolicy()),
       peers_(loop, &sounder_),
-      instances_(settings_.instances),
+      place_{settings_.instances, 0},
       early_(loop, settings_.names.deadline,
              [this](const auto& session, HttpRequest&& request) {
                OnRequest(session, std::move(request));
@@ -126,7 +126,7 @@
     const auto& shards = route.gather->shards;
     size_t reachable = 0;
     for (const auto& it : shards) {
-      reachable += backends_.HasServerInReach(it) ? 1 : 0;
+      reachable += backends_.HasServerInReach(it, route.homes) ? 1 : 0;
     }
     if (reachable <
         engine::PartsNeeded(route.gather->least_share, shards.size())) {
@@ -198,9 +198,10 @@
 void TrafficServer::SetPeers(const engine::Peer& own,
                              const std::vector<engine::Peer>& senders,
                              const std::vector<engine::Peer>& relays,
-                             size_t instances) {
+                             const Place& own_place) {
   peers_.SetPeers(own, senders, relays);
-  instances_ = std::max<size_t>(instances, 1);
+  place_ = own_place;
+  place_.instances = std::max<size_t>(place_.instances, 1);
   if (config_) ShareOut();
 }
 
@@ -219,14 +220,11 @@
 // instances, or for shards the senders of fan-outs. The others keep a little,
 // for the moments in which no sender is within reach.
 void TrafficServer::ShareOut() {
-  const engine::SharePlan plan{instances_, peers_.senders().size(),
+  const engine::SharePlan plan{place_.instances, peers_.senders().size(),
                                engine::FirstSenders(peers_.senders()).size()};
-  const auto role = peers_.IsFirstSender() ? engine::SenderRole::kFirst
-                    : peers_.IsSender()    ? engine::SenderRole::kStandIn
-                                           : engine::SenderRole::kNone;
-  const auto shares = engine::SharesOf(plan, role);
-  const auto all_alike =
-      engine::SharesOf({instances_, 0, 0}, engine::SenderRole::kNone);
+  const engine::SharePlan all_alike{place_.instances, 0, 0};
+  engine::GroupRank rank = peers_.Rank();
+  if (rank.role == engine::SenderRole::kNone) rank.rank = place_.rank;
   std::set<ServiceId> shards;
   for (const auto& route : config_->routes) {
     if (!route.gather) continue;
@@ -234,10 +232,22 @@
   }
   for (const auto& [id, service] : config_->services) {
     const bool is_shard = shards.contains(id);
-    const auto& share = is_shard ? shares : all_alike;
-    backends_.SetShare(
-        id, static_cast<int>(service.max_connections * share.connections),
-        settings_.extra_slack * share.slack);
+    const auto& of = is_shard ? plan : all_alike;
+    const auto own =
+        is_shard ? rank
+                 : engine::GroupRank{engine::SenderRole::kNone, place_.rank};
+    const auto share = engine::SharesOf(of, own.role);
+    ServiceShare mine;
+    mine.connections =
+        static_cast<int>(service.max_connections * share.connections);
+    mine.slack = settings_.extra_slack * share.slack;
+    if (service.cold_per_second > 0) {
+      auto limits = settings_.cold;
+      limits.per_second = service.cold_per_second;
+      mine.when_cold = engine::ColdAllowance(limits, of, own);
+      mine.warmup = service.warmup;
+    }
+    backends_.SetShare(id, mine);
   }
 }
 
--- a/packages/edge/tests/evacuation_test.cc
+++ b/packages/edge/tests/evacuation_test.cc
@@ -17,9 +17,8 @@
 }
 
 RawServer::Script Silent() {
-  return [](const std::string&) {
-    return Scripted{.text = "", .silent = true};
-  };
+  return
+      [](const std::string&) { return Scripted{.text = "", .silent = true}; };
 }
 
 // A plain route over one service with a server in `here` and one in `there`.
@@ -71,7 +70,8 @@
   BOOST_TEST(pair.RequestsAt(1) == 0);
 }
 
-// Failure: the second attempt instead of a late one goes to an evacuated server.
+// Failure: the second attempt instead of a late one goes to an evacuated
+// server.
 BOOST_AUTO_TEST_CASE(HedgesKeepAwayFromEvacuatedServers) {
   Pair pair(Silent(), Answers());
   pair.Evacuate({kThere});
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -43,8 +43,9 @@
 
   void Introduce(const std::vector<engine::Peer>& senders,
                  const std::vector<engine::Peer>& relays) {
-    here.OnLoop(
-        [&] { here.server().SetPeers(here.peer(), senders, relays, 2); });
+    here.OnLoop([&] {
+      here.server().SetPeers(here.peer(), senders, relays, {2, 0});
+    });
   }
   size_t Arrivals() const {
     size_t n = 0;
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -23,6 +23,7 @@
           .stamp = "Q-Stamp",
           .expect_instance = "Q-Expect",
           .not_run = "Q-Not-Run",
+          .warmup = "Q-Warmup",
           .part_stamps = "Q-Stamps",
           .parts_missing = "Q-Missing"};
 }
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -12,6 +12,7 @@
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/engine/traffic_config.h"
 
 namespace hibiscuspick::engine {
 
@@ -68,6 +69,9 @@
 // All other instances that are there.
 std::vector<Peer> PeersThere(const PeerTable& table, Millis now);
 
+// How many instances stand before the own one in the order of their ids.
+size_t RankById(const PeerTable& table);
+
 // A few instances of each other data centre, by which an instance finds out
 // whether that can be reached: also those that were silent lately, since that
 // is the question.
@@ -111,6 +115,10 @@
                       size_t turn,
                       const std::function<double(const InstanceId&)>& busy);
 
+// Those of the senders that may get a route's requests.
+std::vector<Peer> SendersAtHome(const std::vector<Peer>& senders,
+                                const Homes& homes);
+
 // Parts of one query that a peer elsewhere asks for, near their servers, and
 // merges before anything crosses the line between data centres.
 struct RelayGroup {
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -10,6 +10,7 @@
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/engine/cold_start.h"
 
 namespace hibiscuspick::engine {
 
@@ -49,6 +50,8 @@
   bool unreachable = false;
   // It is slower until then, having just started.
   Millis warm_at{-1};
+  // Kept where cold servers are bounded.
+  SentLately sent_lately;
   // Nothing is sent before this, after a refusal or a failure.
   Millis avoided_until;
   int failures_in_row = 0;
@@ -100,6 +103,8 @@
   // The first pause after a failure, doubled for each in a row.
   Millis first_avoidance{25};
   Millis longest_avoidance{1000};
+  // What this instance may send to a cold server; see ColdAllowance.
+  std::optional<int> when_cold;
   // Switches, see settings::Mechanisms.
   bool learned_slowness = true;
   bool adapted_limit = true;
--- a/packages/engine/include/hibiscuspick/engine/traffic_config.h
+++ b/packages/engine/include/hibiscuspick/engine/traffic_config.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,6 +25,13 @@
   double weight = 1;
 };
 
+// The data centres that a route's requests are kept to: neither a server nor
+// another instance elsewhere gets them. All if not set.
+using Homes = std::optional<std::set<DataCentreId>>;
+inline bool IsHome(const Homes& homes, const DataCentreId& where) {
+  return !homes || homes->contains(where);
+}
+
 // A fan-out: one part from each shard, merged.
 struct GatherRule {
   std::vector<ServiceId> shards;
@@ -51,12 +59,17 @@
   // Where plain requests go; empty if `gather` is set.
   std::vector<WeightedService> split;
   std::optional<GatherRule> gather;
+  Homes homes;
 };
 
 struct Service {
   ServiceId id;
   // Connections that each of its servers takes, from all instances together.
   int max_connections = 1;
+  // How long its servers are cold after a start, and how many requests a second
+  // each takes meanwhile; 0 if that isn't bounded.
+  Millis warmup{0};
+  double cold_per_second = 0;
 };
 
 // What a caller may send, and how long it may take or stay idle.
--- a/packages/engine/src/peers.cc
+++ b/packages/engine/src/peers.cc
@@ -1,6 +1,7 @@
 #include "hibiscuspick/engine/peers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -123,6 +124,11 @@
   return there;
 }
 
+size_t RankById(const PeerTable& table) {
+  return static_cast<size_t>(
+      std::distance(table.peers.begin(), table.peers.lower_bound(table.own)));
+}
+
 std::vector<Peer> SomeElsewhere(const PeerTable& table) {
   constexpr size_t kSome = 3;
   // Others for each asker: while a data centre is lost all ask, five times a
@@ -207,6 +213,14 @@
   return (*at)->id == own.id ? nullptr : *at;
 }
 
+std::vector<Peer> SendersAtHome(const std::vector<Peer>& senders,
+                                const Homes& homes) {
+  std::vector<Peer> at_home;
+  std::copy_if(senders.begin(), senders.end(), std::back_inserter(at_home),
+               [&](auto& it) { return IsHome(homes, it.data_centre); });
+  return at_home;
+}
+
 std::vector<RelayGroup> GroupRelays(
     const std::vector<std::vector<DataCentreId>>& places,
     const DataCentreId& own,
--- a/packages/engine/src/server_belief.cc
+++ b/packages/engine/src/server_belief.cc
@@ -87,8 +87,11 @@
 
 bool TakesAttempt(const ServerBelief& server, const ChoicePolicy& policy,
                   Millis now) {
+  const bool is_full_while_cold =
+      policy.when_cold && now < server.warm_at &&
+      !HasColdRoom(server.sent_lately, *policy.when_cold, now);
   return IsWithinReach(server) && now >= server.avoided_until &&
-         server.open.size() < OpenLimit(server, policy);
+         !is_full_while_cold && server.open.size() < OpenLimit(server, policy);
 }
 
 size_t OpenLimit(const ServerBelief& server, const ChoicePolicy& policy) {
--- /dev/null
+++ b/packages/engine/tests/cold_start_test.cc
@@ -0,0 +1,82 @@
+#include "hibiscuspick/engine/cold_start.h"
+
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "hibiscuspick/base/random.h"
+#include "share_plan_text.h"
+
+namespace bdata = boost::unit_test::data;
+
+namespace hibiscuspick::engine {
+
+namespace {
+
+const SharePlan kPlans[] = {
+    {1, 0, 0}, {6, 0, 0}, {83, 0, 0}, {9, 3, 3}, {83, 6, 3}, {460, 35, 7},
+};
+constexpr ColdLimits kLimits{10, 1.5, 5};
+constexpr double kBound = 20;
+
+// All instances of a plan, each with its role and rank.
+std::vector<GroupRank> AllOf(const SharePlan& plan) {
+  std::vector<GroupRank> all;
+  for (size_t i = 0; i < plan.first_senders; ++i) {
+    all.push_back({SenderRole::kFirst, i});
+  }
+  for (size_t i = 0; i < plan.senders - plan.first_senders; ++i) {
+    all.push_back({SenderRole::kStandIn, i});
+  }
+  for (size_t i = plan.senders; i < plan.instances; ++i) {
+    all.push_back({SenderRole::kNone, i});
+  }
+  return all;
+}
+
+// Failure: each instance keeps to its share, and all together break a server
+// that has just come back.
+BOOST_DATA_TEST_CASE(SharesStayBelowTheBound, bdata::make(kPlans), plan) {
+  int sum = 0;
+  for (const auto& it : AllOf(plan)) sum += ColdAllowance(kLimits, plan, it);
+  BOOST_TEST(sum <= kBound);
+  BOOST_TEST(sum >= kBound * 0.4);
+}
+
+// Failure: every instance has less than one request a second, and rounds it up
+// to one, or the server gets none at all.
+BOOST_AUTO_TEST_CASE(FewOfManyMaySendWhereTheShareIsBelowOne) {
+  const SharePlan plan{83, 0, 0};
+  BOOST_TEST(ColdAllowance(kLimits, plan, {SenderRole::kNone, 0}) == 1);
+  BOOST_TEST(ColdAllowance(kLimits, plan, {SenderRole::kNone, 82}) == 0);
+}
+
+// Failure: bursts at the border of two windows, or requests that wait for a
+// connection, add up to more than the bound in a second.
+BOOST_DATA_TEST_CASE(NoSecondHoldsMoreThanTheBound, bdata::make(kPlans), plan) {
+  Random random(7);
+  constexpr double kConnecting = 300;
+  std::vector<Millis> arrivals;
+  for (const auto& it : AllOf(plan)) {
+    const int allowance = ColdAllowance(kLimits, plan, it);
+    SentLately sent;
+    for (Millis now(0); now < Millis(6000); now += Millis(10)) {
+      if (!HasColdRoom(sent, allowance, now)) continue;
+      AddSent(&sent, now);
+      arrivals.push_back(now + Millis(random.Fraction() * kConnecting));
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end());
+  for (size_t i = 0; i < arrivals.size(); ++i) {
+    const auto end = std::upper_bound(arrivals.begin(), arrivals.end(),
+                                      arrivals[i] + Millis(1000));
+    const auto first = arrivals.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto within = std::distance(first, end);
+    BOOST_TEST_REQUIRE(static_cast<double>(within) <= kBound);
+  }
+}
+
+}  // namespace
+}  // namespace hibiscuspick::engine
--- a/packages/engine/tests/peers_test.cc
+++ b/packages/engine/tests/peers_test.cc
@@ -136,5 +136,16 @@
   BOOST_TEST(health.avoided_until.count == 2200);
 }
 
+// Failure: a query of a route that is kept to some data centres is handed to an
+// instance elsewhere.
+BOOST_AUTO_TEST_CASE(SendersElsewhereGetNothingOfRoutesWithHomes) {
+  const auto senders = FanOutSenders(Fleet(3), kNow);
+  const Homes homes = std::set<DataCentreId>{DataCentreId("b")};
+  const auto at_home = SendersAtHome(senders, homes);
+  BOOST_TEST_REQUIRE(at_home.size() == 1);
+  BOOST_TEST((at_home[0].data_centre == DataCentreId("b")));
+  BOOST_TEST(SendersAtHome(senders, {}).size() == senders.size());
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
--- a/packages/engine/tests/sender_shares_test.cc
+++ b/packages/engine/tests/sender_shares_test.cc
@@ -3,17 +3,13 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <ostream>
+
+#include "share_plan_text.h"
 
 namespace bdata = boost::unit_test::data;
 
 namespace hibiscuspick::engine {
 
-std::ostream& operator<<(std::ostream& out, const SharePlan& plan) {
-  return out << plan.instances << " instances, " << plan.senders
-             << " senders in " << plan.first_senders << " data centres";
-}
-
 namespace {
 
 const SharePlan kPlans[] = {
--- /dev/null
+++ b/packages/engine/tests/share_plan_text.h
@@ -0,0 +1,15 @@
+// How a plan of shares is named in the tables of tests.
+#pragma once
+
+#include <ostream>
+
+#include "hibiscuspick/engine/sender_shares.h"
+
+namespace hibiscuspick::engine {
+
+inline std::ostream& operator<<(std::ostream& out, const SharePlan& plan) {
+  return out << plan.instances << " instances, " << plan.senders
+             << " senders in " << plan.first_senders << " data centres";
+}
+
+}  // namespace hibiscuspick::engine
--- a/packages/settings/include/hibiscuspick/settings/edge_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -3,6 +3,7 @@
 // again when it changes.
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,13 @@
   // store has said how many there are.
   int instances = 8;
 
+  // What a cold server gets beyond its service's bound.
+  double cold_overage = 1;
+  double cold_slack = 0;
+
+  // The region of each data centre, for routes that are kept to some regions.
+  std::map<DataCentreId, std::string> regions;
+
   // From the stop signal until the process is ended by force.
   Millis grace{6000};
 
--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -40,6 +40,33 @@
   reader.RefuseUnknown();
 }
 
+void ReadCold(JsonReader* edge, EdgeSettings* out, std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "cold_servers"), "$.edge.cold_servers",
+                    faults);
+  constexpr double kMostOverage = 100;
+  constexpr double kMostSlack = 1e6;
+  out->cold_overage =
+      ReadFraction(&reader, "overage", kMostOverage, out->cold_overage);
+  out->cold_slack = ReadFraction(&reader, "slack", kMostSlack, out->cold_slack);
+  reader.RefuseUnknown();
+}
+
+void ReadRegions(JsonReader* edge, EdgeSettings* out) {
+  const Json* field = edge->Find("regions");
+  if (field == nullptr) return;
+  if (!field->is_object()) {
+    edge->Add("regions", "must be an object");
+    return;
+  }
+  for (const auto& [where, region] : field->items()) {
+    if (!region.is_string()) {
+      edge->Add("regions." + where, "must be the name of a region");
+      continue;
+    }
+    out->regions[DataCentreId(where)] = region.get<std::string>();
+  }
+}
+
 void ReadPolicy(JsonReader* edge, EdgeSettings* out,
                 std::vector<Fault>* faults) {
   JsonReader reader(Section(edge, "policy"), "$.edge.policy", faults);
@@ -61,6 +88,8 @@
   out->processor =
       ReadFraction(&reader, "processor", kMostCores, out->processor);
   ReadExtra(&reader, out, faults);
+  ReadCold(&reader, out, faults);
+  ReadRegions(&reader, out);
   ReadPolicy(&reader, out, faults);
   out->instances =
       static_cast<int>(reader.Integer("instances", {1, 10000}, out->instances));
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -17,7 +17,8 @@
     "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "store": "10.0.0.2:3",
     "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
     "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
-    "grace_ms": 6000}})");
+    "cold_servers": {"overage": 1.5, "slack": 5},
+    "regions": {"a": "north", "b": "south"}, "grace_ms": 6000}})");
 }
 
 BOOST_AUTO_TEST_CASE(GoodFile) {
@@ -28,6 +29,9 @@
   BOOST_TEST(settings.extra_slack == 52);
   BOOST_TEST(settings.extra_window.count == 10000);
   BOOST_TEST(ToText(settings.news) == "10.0.0.1:4");
+  BOOST_TEST(settings.cold_overage == 1.5);
+  BOOST_TEST(settings.cold_slack == 5);
+  BOOST_TEST(settings.regions.at(DataCentreId("b")) == "south");
   BOOST_TEST(IsEdgeSettings(Good().dump()));
   BOOST_TEST(!IsEdgeSettings("{}"));
   BOOST_TEST(!IsEdgeSettings("{\"edge\": {"));
@@ -68,6 +72,10 @@
     {"/edge/instances", 0, "$.edge.instances"},
     {"/edge/extra_attempts/ratio", -1, "$.edge.extra_attempts.ratio"},
     {"/edge/extra_attempts/slck", 1, "$.edge.extra_attempts.slck"},
+    {"/edge/cold_servers/overage", -1, "$.edge.cold_servers.overage"},
+    {"/edge/cold_servers/slak", 1, "$.edge.cold_servers.slak"},
+    {"/edge/regions", "north", "$.edge.regions"},
+    {"/edge/regions/a", 3, "$.edge.regions.a"},
     {"/edge/policy/hedgin", false, "$.edge.policy.hedgin"},
     {"/edge/policy/hedging", 0, "$.edge.policy.hedging"},
     {"/edge/log", Json{{"level", "loud"}}, "$.edge.log.level"},
