An answer leaves when it is expected to be worth most, by the lags measured and the parts still to come

Change: whoever hands a query over says how its answers' lags are spread (Hp-Lags-Ms) and takes off the usual one; the sender answers at the instant at which the share in time, times the square of the share of parts in by then, is greatest, the latter from the route's own attempts. Relays and rests use the usual lag, since a late one costs its parts and not the answer.

Tests: AnswersLeaveWhenTheyAreWorthMost, LagsOfPeersAreRead.

--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -50,6 +50,9 @@
   Millis answer_in;
   Millis end_in;
   bool returning = false;
+  // What may pass after that until the peer has the answer, as it has measured;
+  // `answer_in` has the usual of these taken off.
+  std::optional<engine::LagBounds> lags = std::nullopt;
 };
 
 // Why a request got no success.
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -1,5 +1,7 @@
 #include "hibiscuspick/edge/peer_sender.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -13,6 +15,7 @@
 constexpr std::string_view kVersionHeader = "Hp-Config-Version";
 constexpr std::string_view kAnswerHeader = "Hp-Answer-In-Ms";
 constexpr std::string_view kEndHeader = "Hp-End-In-Ms";
+constexpr std::string_view kLagsHeader = "Hp-Lags-Ms";
 constexpr std::string_view kReturningHeader = "Hp-Returning";
 constexpr std::string_view kShardsHeader = "Hp-Shards";
 constexpr std::string_view kWantedHeader = "Hp-Wanted";
@@ -41,6 +44,28 @@
   return n;
 }
 
+// Answers may be this late, as shares of kLagShares, after their clock.
+std::string JoinLags(const engine::LagBounds& lags) {
+  std::string text;
+  for (const auto& it : lags) {
+    text += fmt::format("{}{:.1f}", text.empty() ? "" : ",", it.count);
+  }
+  return text;
+}
+
+std::optional<engine::LagBounds> SplitLags(std::string_view text) {
+  const auto parts = SplitList(text);
+  engine::LagBounds lags{};
+  if (parts.size() != lags.size()) return std::nullopt;
+  for (size_t i = 0; i < lags.size(); ++i) {
+    const std::string part(parts[i]);
+    char* end = nullptr;
+    lags[i] = Millis(std::strtod(part.c_str(), &end));
+    if (end == part.c_str() || *end != '\0') return std::nullopt;
+  }
+  return lags;
+}
+
 std::string Whole(Millis it) {
   return std::to_string(static_cast<int64_t>(it.count));
 }
@@ -55,6 +80,7 @@
   add(kAnswerHeader, Whole(query.clocks.answer_in));
   add(kEndHeader, Whole(query.clocks.end_in));
   add(kReturningHeader, query.clocks.returning ? "1" : "0");
+  if (query.clocks.lags) add(kLagsHeader, JoinLags(*query.clocks.lags));
   if (!query.shards.empty()) add(kShardsHeader, JoinPlaces(query.shards));
   if (!query.rest.token.empty()) {
     add(kRestHeader, query.rest.token);
@@ -104,6 +130,7 @@
   query.clocks.answer_in = Millis(static_cast<double>(*answer));
   query.clocks.end_in = Millis(static_cast<double>(*end));
   query.clocks.returning = NumberIn(*headers, kReturningHeader) == 1;
+  query.clocks.lags = SplitLags(FindHeader(*headers, kLagsHeader));
   const auto shards = SplitPlaces(FindHeader(*headers, kShardsHeader));
   if (!shards) return std::nullopt;
   query.shards = *shards;
@@ -114,8 +141,8 @@
     return SameName(it.name, kVersionHeader) ||
            SameName(it.name, kAnswerHeader) || SameName(it.name, kEndHeader) ||
            SameName(it.name, kReturningHeader) ||
-           SameName(it.name, kShardsHeader) || SameName(it.name, kRestHeader) ||
-           SameName(it.name, kWantedHeader);
+           SameName(it.name, kLagsHeader) || SameName(it.name, kShardsHeader) ||
+           SameName(it.name, kRestHeader) || SameName(it.name, kWantedHeader);
   });
   return query;
 }
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -20,7 +20,8 @@
   auto* peers = context_->peers;
   const Millis left = clocks_.answer_at - began_;
   if (!Uses().relays || peers == nullptr || !route_->gather ||
-      !places_.empty() || left - context_->relay_lag.high < kLeastRelayTime) {
+      !places_.empty() ||
+      left - context_->relay_lag.usual() < kLeastRelayTime) {
     return asked;
   }
   std::vector<std::vector<DataCentreId>> places(parts_.size());
@@ -46,7 +47,7 @@
   if (peer == nullptr) return false;
   const Millis left = clocks_.answer_at - began_;
   HandedQuery query;
-  query.clocks.answer_in = left - context_->relay_lag.high;
+  query.clocks.answer_in = left - context_->relay_lag.usual();
   query.clocks.end_in = clocks_.end_at - began_;
   query.shards = group.shards;
   AskPeer(*peer, std::move(query), left,
--- a/packages/edge/src/query_rest.cc
+++ b/packages/edge/src/query_rest.cc
@@ -74,7 +74,7 @@
   const Millis left = clocks_.end_at - context_->loop->now();
   HandedQuery query;
   query.clocks.answer_in = Millis(0);
-  query.clocks.end_in = left - context_->relay_lag.high;
+  query.clocks.end_in = left - context_->relay_lag.usual();
   query.shards = rest.shards;
   query.rest = {rest.token, wanted};
   AskPeer(
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -71,10 +71,13 @@
       handed_ ? *handed_ : ClocksFor(*context_, *route_, pace_, request_);
   returning_ = clocks.returning;
   clocks_.end_at = began_ + Min(clocks.end_in, route_->timeout);
-  clocks_.answer_at = began_ + clocks.answer_in;
-  if (Uses().answer_lag) {
-    clocks_.answer_at = clocks_.answer_at - context_->answer_lag.high;
+  Millis answer_in = clocks.answer_in;
+  if (Uses().answer_lag) answer_in = answer_in - context_->answer_lag.usual();
+  if (clocks.lags) {
+    answer_in = engine::BestAnswerTime(
+        *pace_, answer_in + engine::UsualLag(*clocks.lags), *clocks.lags);
   }
+  clocks_.answer_at = began_ + answer_in;
 }
 
 void QueryRun::Start(const std::vector<ServiceId>& services, OnDone on_done) {
--- a/packages/edge/src/traffic_handover.cc
+++ b/packages/edge/src/traffic_handover.cc
@@ -112,7 +112,8 @@
       peer->data_centre != settings_.backends.choice.own_data_centre;
   // The way to the peer and back and the work on both ends, as measured.
   auto* lag = away ? &far_lag_ : &near_lag_;
-  query.clocks.answer_in = query.clocks.answer_in - lag->high;
+  query.clocks.answer_in = query.clocks.answer_in - lag->usual();
+  query.clocks.lags = lag->bounds;
   HttpRequest sent;
   sent.method = request.method;
   sent.target = request.target;
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -1,8 +1,13 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
 #include <set>
 
 #include "traffic_fixture.h"
 
+namespace bdata = boost::unit_test::data;
+
 namespace hibiscuspick::edge {
 namespace {
 
@@ -307,5 +312,33 @@
   BOOST_TEST(places.Arrivals() == 0);
 }
 
+struct LagsRow {
+  const char* text;
+  bool readable;
+};
+
+std::ostream& operator<<(std::ostream& out, const LagsRow& row) {
+  return out << row.text;
+}
+
+const LagsRow kLags[] = {{"1.0,2.0,3.0,4.0,5.5", true}, {"1,2,3,4", false},
+                         {"1,2,3,4,5,6", false},        {"a,2,3,4,5", false},
+                         {"1,2,3,4,5x", false},         {"", false}};
+
+// Failure: a peer's word on its lags that can't be read is taken for none, or
+// ends the process.
+BOOST_DATA_TEST_CASE(LagsOfPeersAreRead, bdata::make(kLags), row) {
+  HandedQuery query;
+  query.clocks.answer_in = Millis(40);
+  std::vector<Header> headers;
+  AddHanded(query, &headers);
+  headers.push_back({"Hp-Lags-Ms", row.text});
+  const auto taken = TakeHanded(&headers);
+  BOOST_TEST_REQUIRE(taken.has_value());
+  BOOST_TEST(taken->clocks.lags.has_value() == row.readable);
+  if (row.readable) BOOST_TEST(taken->clocks.lags->back().count == 5.5);
+  BOOST_TEST(headers.empty());
+}
+
 }  // namespace
 }  // namespace hibiscuspick::edge
--- a/packages/engine/include/hibiscuspick/engine/lag_meter.h
+++ b/packages/engine/include/hibiscuspick/engine/lag_meter.h
@@ -9,23 +9,34 @@
 
 namespace hibiscuspick::engine {
 
-// What all but one or two of the latest hundred samples stay below. An answer
-// that leaves a little early lacks a part or two; a late one is worth a tenth.
+// The shares of the latest samples whose bounds a meter gives.
+inline constexpr std::array kLagShares = {0.5, 0.8, 0.9, 0.95, 0.98};
+using LagBounds = std::array<Millis, kLagShares.size()>;
+
+// What most samples stay below: a margin where being late costs little.
+inline Millis UsualLag(const LagBounds& bounds) { return bounds[2]; }
+
+// The bounds of the latest hundred samples.
 //
-// A sample counts for twice the meter and kSurprise at most. A process that
+// A sample counts for twice the highest and kSurprise at most. A process that
 // stood still for a second is no sign that the next answer will be late by one:
 // taken whole, one such hop left no time to queries for a hundred more, and all
 // of them were refused though no server had anything to do.
 struct LagMeter {
   static constexpr Millis kSurprise{10};
   static constexpr size_t kLatest = 96;
-  // One of so many is left out.
-  static constexpr size_t kLeftOutOf = 64;
-  // Before so many it isn't below the first guess.
+  // Before so many none is below the first guess.
   static constexpr size_t kFew = 8;
 
-  // The first guess, until there are samples.
-  Millis high;
+  LagMeter() = default;
+  // With a first guess, until there are samples.
+  explicit LagMeter(Millis guess) { bounds.fill(guess); }
+
+  // What nearly all samples stay below.
+  Millis high() const { return bounds.back(); }
+  Millis usual() const { return UsualLag(bounds); }
+
+  LagBounds bounds{};
   std::array<float, kLatest> latest{};
   size_t seen = 0;
 };
--- a/packages/engine/include/hibiscuspick/engine/route_pace.h
+++ b/packages/engine/include/hibiscuspick/engine/route_pace.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/engine/lag_meter.h"
 #include "hibiscuspick/limits/latency_sketch.h"
 
 namespace hibiscuspick::engine {
@@ -27,6 +28,14 @@
 // Takes the latency of one good reply.
 void AddLatency(RoutePace* pace, Millis latency, Millis target);
 
+// When to answer a query whose answer takes one of `lags` to reach its caller,
+// who must have it in `to_target`: sooner, and more parts lack; later, and it
+// is more often late. Gives the instant, from now, at which the payoff is
+// expected to be greatest; it goes with the square of the share of parts that
+// are in.
+Millis BestAnswerTime(const RoutePace& pace, Millis to_target,
+                      const LagBounds& lags);
+
 // How long the caller has waited before this attempt of its own, by what it
 // says it will still wait.
 Millis SpentBefore(RoutePace* pace, Millis will_wait);
--- a/packages/engine/src/route_pace.cc
+++ b/packages/engine/src/route_pace.cc
@@ -20,6 +20,9 @@
 constexpr double kSoonestHedge = 0.1;
 constexpr double kLatestHedge = 0.45;
 
+// What an answer that comes late is worth, of one in time.
+constexpr double kLatePayoff = 0.1;
+
 constexpr double kFirstUsual = 0.15;
 constexpr double kFirstHedge = 0.35;
 
@@ -46,6 +49,23 @@
       Min(Max(late, target * kSoonestHedge), target * kLatestHedge);
 }
 
+Millis BestAnswerTime(const RoutePace& pace, Millis to_target,
+                      const LagBounds& lags) {
+  Millis best;
+  double most = -1;
+  for (size_t i = 0; i < lags.size(); ++i) {
+    const Millis at = to_target - lags[i];
+    const double in = limits::ShareBelow(pace.sketch, at);
+    const double in_time = kLagShares[i] + kLatePayoff * (1 - kLagShares[i]);
+    // Of equal ones the later: what is known of a route's first replies is
+    // little.
+    if (in_time * in * in <= most) continue;
+    most = in_time * in * in;
+    best = at;
+  }
+  return best;
+}
+
 Millis SpentBefore(RoutePace* pace, Millis will_wait) {
   pace->longest_wait = Max(pace->longest_wait, will_wait);
   return pace->longest_wait - will_wait;
--- a/packages/engine/tests/lag_meter_test.cc
+++ b/packages/engine/tests/lag_meter_test.cc
@@ -15,19 +15,19 @@
   int above = 0;
   for (int i = 0; i < 5000; ++i) {
     const Millis sample(random.Fraction() * 10);
-    if (i >= 1000 && sample > meter.high) ++above;
+    if (i >= 1000 && sample > meter.high()) ++above;
     AddLag(&meter, sample);
   }
   BOOST_TEST(above < 4000 * 0.03);
-  BOOST_TEST(meter.high.count < 10);
+  BOOST_TEST(meter.high().count < 10);
 }
 
 BOOST_AUTO_TEST_CASE(ForgetsABurst) {
   LagMeter meter;
   for (int i = 0; i < 20; ++i) AddLag(&meter, Millis(40));
-  BOOST_TEST(meter.high.count > 35);
+  BOOST_TEST(meter.high().count > 35);
   for (int i = 0; i < 100; ++i) AddLag(&meter, Millis(1));
-  BOOST_TEST(meter.high.count < 5);
+  BOOST_TEST(meter.high().count < 5);
 }
 
 // The peer on the way was stopped for a second and a half and goes on. Its
@@ -36,7 +36,7 @@
   LagMeter meter;
   for (int i = 0; i < 100; ++i) AddLag(&meter, Millis(2));
   AddLag(&meter, Millis(1500));
-  BOOST_TEST(meter.high.count < 8);
+  BOOST_TEST(meter.high().count < 8);
 }
 
 }  // namespace
--- a/packages/engine/tests/route_pace_test.cc
+++ b/packages/engine/tests/route_pace_test.cc
@@ -1,6 +1,11 @@
 #include "hibiscuspick/engine/route_pace.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
+
+namespace bdata = boost::unit_test::data;
 
 namespace hibiscuspick::engine {
 namespace {
@@ -38,5 +43,50 @@
   BOOST_TEST(SpentBefore(&pace, Millis(2000)).count == 0);
 }
 
+struct AnswerRow {
+  const char* what;
+  // When nearly all parts are in, and when the last of a hundred.
+  double fast;
+  double slow;
+  LagBounds lags;
+  // Bounds of the instant at which the answer leaves.
+  double least;
+  double most;
+};
+
+std::ostream& operator<<(std::ostream& out, const AnswerRow& row) {
+  return out << row.what;
+}
+
+constexpr LagBounds kWideLags = {Millis(3), Millis(5), Millis(8), Millis(12),
+                                 Millis(18)};
+
+const AnswerRow kAnswers[] = {
+    {"all parts are in long before", 8, 10, kWideLags, 22, 22},
+    {"parts still come when it is due", 8, 29, kWideLags, 30, 33},
+    {"what is late comes after the target", 8, 100, kWideLags, 22, 22},
+    {"lags are alike",
+     8,
+     29,
+     {Millis(4), Millis(4), Millis(4), Millis(4), Millis(4)},
+     36,
+     36},
+};
+
+// Failure: answers wait for parts that don't come and are late, or leave so
+// early that parts lack which would have come.
+BOOST_DATA_TEST_CASE(AnswersLeaveWhenTheyAreWorthMost, bdata::make(kAnswers),
+                     row) {
+  const Millis target(40);
+  auto pace = FirstPace(target);
+  for (int i = 0; i < 1000; ++i) {
+    const bool is_slow = i % 10 == 0;
+    AddLatency(&pace, Millis(is_slow ? row.slow : row.fast), target);
+  }
+  const Millis at = BestAnswerTime(pace, target, row.lags);
+  BOOST_TEST(at.count >= row.least);
+  BOOST_TEST(at.count <= row.most);
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
--- a/packages/limits/include/hibiscuspick/limits/latency_sketch.h
+++ b/packages/limits/include/hibiscuspick/limits/latency_sketch.h
@@ -25,4 +25,7 @@
 // samples.
 Millis Quantile(const LatencySketch& sketch, double quantile);
 
+// The share of the samples that lie below `latency`; 1 without samples.
+double ShareBelow(const LatencySketch& sketch, Millis latency);
+
 }  // namespace hibiscuspick::limits
--- a/packages/limits/src/latency_sketch.cc
+++ b/packages/limits/src/latency_sketch.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <numeric>
 
 namespace hibiscuspick::limits {
 namespace {
@@ -44,4 +46,12 @@
   return Millis(kLowest * std::pow(kGrowth, LatencySketch::kBuckets));
 }
 
+double ShareBelow(const LatencySketch& sketch, Millis latency) {
+  if (sketch.total <= 0) return 1;
+  const auto end =
+      sketch.counts.begin() + static_cast<std::ptrdiff_t>(BucketOf(latency));
+  const double below = std::accumulate(sketch.counts.begin(), end, 0.0);
+  return below / static_cast<double>(sketch.total);
+}
+
 }  // namespace hibiscuspick::limits
