--- a/packages/engine/include/hibiscuspick/engine/fan_out.h
+++ b/packages/engine/include/hibiscuspick/engine/fan_out.h
@@ -37,9 +37,6 @@
 // `defer_share` of the time left is kept back, as far as the least share goes
 // without it: it is overloaded or slow, each part not asked there lets another
 // query's part be on time, and its first attempt stays free for later.
-//
-// Answers: one server of a shard lost or slowed tenfold leaves the other at
-// 2.0 of its 2 slots. Without this, all queries were late for those seconds.
 FanOutPlan PlanFanOut(const std::vector<std::optional<ShardOutlook>>& outlooks,
                       size_t needed, Millis time_left, double defer_share);
 
@@ -67,23 +64,12 @@
 // the target, if it is queues that make it late. Then each query let in makes
 // the next ones late too, and those who are told at once when to come back are
 // served sooner than by waiting. A caller that did come back is let in.
-//
-// Answers: 15 % more than a shard's servers can do, for some seconds; and two
-// and a half times as many callers while half of the servers are cut off. Half
-// of them waited two seconds behind the others for nothing then, and most of
-// their parts had run.
 Admission Admit(const std::vector<std::optional<ShardOutlook>>& outlooks,
                 size_t needed, const QueryTimes& times);
 
 // Whether a part that has just failed has to be asked again for the query to
 // succeed. `failed`: others that failed for good; kept-back shards aren't among
 // them, they are asked in its place at no extra cost.
-//
-// Answers: one server of each shard loses two of five answers. A query of 20
-// shards lost four parts, and the budget allows a second attempt for each
-// fourth query. Spent on the first parts that failed, it was gone when a query
-// had lost three: 187 fan-outs failed in four seconds. Spent where it is
-// needed, and with failing servers dearer meanwhile, 60 did.
 bool NeedsRetry(size_t shards, size_t failed, size_t needed);
 
 // One shard of a query in flight.
--- a/packages/engine/include/hibiscuspick/engine/news_sources.h
+++ b/packages/engine/include/hibiscuspick/engine/news_sources.h
@@ -69,19 +69,12 @@
 // it: another one of its data centre and one elsewhere. A store may turn away
 // some instances only, or be cut off from them; what the others hear is as
 // good.
-//
-// Answers: two of six instances were turned away for nine seconds. They went on
-// sending to servers that the others had dropped, by a configuration five
-// versions old.
 std::vector<Peer> HelpersOf(const PeerTable& table, Millis now);
 
 // How old its news may become before an instance asks the store itself, though
 // others watch for it. The second of a data centre comes first, then the two
 // after it, then four, each later than those before; the others leave it to
 // them, since news that one of them gets come round within a second.
-//
-// Answers: all instances start at once, or the store is away for all: 195
-// instances asked it 17 times each within three seconds.
 Millis PatienceOf(const PeerTable& table, bool has_heard, Millis now);
 
 // Where to hear from now on: SourcesOf; the store itself once patience is at
--- a/packages/engine/include/hibiscuspick/engine/peers.h
+++ b/packages/engine/include/hibiscuspick/engine/peers.h
@@ -83,9 +83,6 @@
 // instance keeps at least one attempt at a server, and five of them at two
 // slots put a part of 9 ms behind three of 28.
 //
-// Answers: a shard whose other server is cut off or lost, at 1.0 to 1.2 of its
-// slots; queue_play_test.cc plays it.
-//
 // More instances: those with the most processor, if they have kAbler times that
 // of the weakest, those of a data centre in order of rank. A fan-out to 90
 // shards takes 4 ms of processor time, 33 ms on an eighth of a core and 8 ms on
@@ -107,9 +104,6 @@
 // sends all queries meets each server so often that it knows of a pause or a
 // slow one in time for the next query. `turn` spreads queries over data centres
 // that are equally near.
-//
-// Answers: 15 senders of 48 queries a second, each of which meets a server
-// three times a second while its pauses last a quarter of one.
 const Peer* SenderFor(const std::vector<Peer>& senders, const Peer& own,
                       const std::vector<DataCentreId>& shard_places,
                       size_t turn,
@@ -132,9 +126,6 @@
 // The data centre with most of them gets all that it has, then the next; fewer
 // than kFewestRelayed aren't worth a message. `has_peer`: whether an instance
 // there can be asked.
-//
-// Answers: a fan-out to 20 shards of which 6 are elsewhere took 5 KB across,
-// one answer of six merged parts takes 1 KB; of 90 shards 20 KB and 1.5 KB.
 inline constexpr size_t kFewestRelayed = 3;
 std::vector<RelayGroup> GroupRelays(
     const std::vector<std::vector<DataCentreId>>& places,
--- a/packages/engine/include/hibiscuspick/engine/server_belief.h
+++ b/packages/engine/include/hibiscuspick/engine/server_belief.h
@@ -90,9 +90,6 @@
   // meets the server seldom, after so many usual gaps between two attempts, up
   // to a bound: what one attempt in a second has shown is else forgotten before
   // the next one is made.
-  //
-  // Answers: 30 % of the servers of 90 shards fail half of their requests; 24
-  // senders meet each of them once a second.
   double failing_half_gaps = 10;
   Millis longest_failing_half_life{15000};
   // How fast a record of failures fades, and what a sure failure costs more in
@@ -123,9 +120,6 @@
 // kHardLatency times gets less. What doesn't fit waits here, in order of its
 // due instant, and not in the server's queue, where a query that is lost
 // already stands before one that could still be on time.
-//
-// Answers: a shard whose other server is lost, at 1.0 to 1.15 of its capacity;
-// with three attempts from each of six instances its queue alone took 250 ms.
 void AdaptLimit(ServerBelief* server, double latency_factor,
                 const ChoicePolicy& policy, Millis now);
 
