The field's terms for what finds out whether a data centre can be reached: prober, probe, reachability, contact

Sounder -> Prober, PlaceReach -> Reachability, NoteHeard -> RecordContact, TellIfAlone -> NotifyIfIsolated; the switch soundings is reachability_probes (docs/SETTINGS.md). Nothing else changes.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -15,7 +15,7 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
-#include "hibiscuspick/edge/sounder.h"
+#include "hibiscuspick/edge/prober.h"
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/extra_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
@@ -119,8 +119,8 @@
 
 class Backends {
  public:
-  // `sounder` outlives it, and is told of every server that is heard.
-  Backends(Loop* loop, BackendsPolicy policy, Sounder* sounder);
+  // `prober` outlives it, and is told of every server that is heard.
+  Backends(Loop* loop, BackendsPolicy policy, Prober* prober);
   ~Backends();
 
   void SetServers(const std::vector<engine::ServerEntry>& entries);
@@ -209,7 +209,7 @@
   bool MayServe(const Server& server, const engine::Homes& homes) const;
   // It is back, and may be cold without having said so yet.
   void TakeForCold(Server* server);
-  void NoteHeard(Server* server);
+  void RecordContact(Server* server);
   void NoteUnheard(const Server& server);
   void Probe(const std::shared_ptr<Server>& server);
   void LookForSilence();
@@ -227,7 +227,7 @@
 
   Loop* const loop_;
   const BackendsPolicy policy_;
-  Sounder* const sounder_;
+  Prober* const prober_;
   // When the sender of this data centre last said that it is cut off.
   std::optional<Millis> told_cut_off_;
   std::set<DataCentreId> evacuated_;
@@ -244,7 +244,7 @@
   Loop::TimerId sweep_ = 0;
   uint64_t last_attempt_ = 0;
   uint64_t last_wait_ = 0;
-  size_t sounded_ = 0;
+  size_t probed_ = 0;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -11,8 +11,8 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/prober.h"
 #include "hibiscuspick/edge/query_run.h"
-#include "hibiscuspick/edge/sounder.h"
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/peers.h"
 
@@ -78,8 +78,8 @@
  public:
   using OnEnd = std::function<void(HandedEnd, HttpReply)>;
 
-  // `sounder` outlives it, and is told who answers and who doesn't.
-  PeerSender(Loop* loop, Sounder* sounder) : loop_(loop), sounder_(sounder) {}
+  // `prober` outlives it, and is told who answers and who doesn't.
+  PeerSender(Loop* loop, Prober* prober) : loop_(loop), prober_(prober) {}
   ~PeerSender();
   PeerSender(const PeerSender&) = delete;
   PeerSender& operator=(const PeerSender&) = delete;
@@ -135,7 +135,7 @@
   void End(const std::shared_ptr<Open>& open, HandedEnd end, HttpReply reply);
 
   Loop* const loop_;
-  Sounder* const sounder_;
+  Prober* const prober_;
   std::optional<engine::Peer> own_;
   std::vector<engine::Peer> senders_;
   std::vector<engine::Peer> relays_;
--- a/packages/edge/include/hibiscuspick/edge/sounder.h
+++ b/packages/edge/include/hibiscuspick/edge/prober.h
@@ -10,20 +10,20 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/engine/peers.h"
-#include "hibiscuspick/engine/place_reach.h"
+#include "hibiscuspick/engine/reachability.h"
 
 namespace hibiscuspick::edge {
 
 // Tries connections to a data centre that has given no sign for a while: first
 // to instances there, then to backend servers too, since all of the instances
 // may be down and its servers well. Refusals are no sign: some cuts refuse what
-// others swallow. A data centre that is lost is sounded until it is heard.
-class Sounder {
+// others swallow. A data centre that is lost is probed until it is heard.
+class Prober {
  public:
   using AddressesOf = std::function<std::vector<Address>(const DataCentreId&)>;
 
   // `active`: a switch, see settings::Mechanisms.
-  Sounder(Loop* loop, DataCentreId own, bool active = true)
+  Prober(Loop* loop, DataCentreId own, bool active = true)
       : loop_(loop), own_(std::move(own)), active_(active) {}
 
   // `peers`: some instances of each data centre.
@@ -32,10 +32,12 @@
   void set_servers(AddressesOf servers) { servers_ = std::move(servers); }
 
   // Told when all others are lost, and when one is back after that.
-  void set_on_alone(std::function<void(bool)> it) { on_alone_ = std::move(it); }
+  void set_on_isolated(std::function<void(bool)> it) {
+    on_isolated_ = std::move(it);
+  }
 
   // Something came from there.
-  void NoteHeard(const DataCentreId& where);
+  void RecordContact(const DataCentreId& where);
   // A connection there failed or broke. Where others are heard this tells
   // nothing; failures for kQuiet without a word between them are a sign.
   void NoteFailed(const DataCentreId& where);
@@ -52,16 +54,16 @@
 
  private:
   struct Place {
-    engine::PlaceReach reach;
+    engine::Reachability reach;
     // The first failure since it was heard.
     Millis failed{-1};
     std::vector<Address> peers;
   };
 
-  void Sound(const DataCentreId& where);
+  void Probe(const DataCentreId& where);
   void Try(const DataCentreId& where, const std::vector<Address>& some);
   void End(const DataCentreId& where);
-  void TellIfAlone();
+  void NotifyIfIsolated();
 
   Loop* const loop_;
   const DataCentreId own_;
@@ -69,8 +71,8 @@
   AddressesOf servers_;
   std::map<DataCentreId, Place> places_;
   Millis heard_elsewhere_{-1};
-  std::function<void(bool)> on_alone_;
-  bool told_alone_ = false;
+  std::function<void(bool)> on_isolated_;
+  bool notified_isolated_ = false;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -85,7 +85,7 @@
                 const Place& own_place);
   // Some instances of each other data centre, by which it is found out whether
   // that can be reached.
-  void SetSounded(const std::vector<engine::Peer>& peers);
+  void SetProbed(const std::vector<engine::Peer>& peers);
 
   // Told when this instance finds its data centre cut off and of no use to
   // callers, and when it hears another one again.
@@ -148,7 +148,7 @@
 
   Loop* const loop_;
   const TrafficSettings settings_;
-  Sounder sounder_;
+  Prober prober_;
   Backends backends_;
   QueryContext context_;
   HttpListener callers_;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -26,8 +26,8 @@
 
 }  // namespace
 
-Backends::Backends(Loop* loop, BackendsPolicy policy, Sounder* sounder)
-    : loop_(loop), policy_(std::move(policy)), sounder_(sounder) {
+Backends::Backends(Loop* loop, BackendsPolicy policy, Prober* prober)
+    : loop_(loop), policy_(std::move(policy)), prober_(prober) {
   sweep_ =
       loop_->At(SteadyNow() + kSweepInterval, [this] { LookForSilence(); });
 }
@@ -250,7 +250,7 @@
   const auto server = found->second->server;
   const auto channel = found->second->channel;
   if (end == ExchangeEnd::kReply) {
-    NoteHeard(server.get());
+    RecordContact(server.get());
     NoteIdleTimeout(reply, &server->idle_timeout);
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
@@ -266,7 +266,7 @@
   attempts_.erase(found);
   const auto server = attempt->server;
   if (end != AttemptEnd::kReply) {
-    sounder_->NoteFailed(server->belief.entry.data_centre);
+    prober_->NoteFailed(server->belief.entry.data_centre);
   }
   AttemptResult result;
   result.id = id;
@@ -321,7 +321,7 @@
     channel->Close();
     return;
   }
-  NoteHeard(server.get());
+  RecordContact(server.get());
   server->belief.unreachable = false;
   std::erase_if(server->idle, [](auto& it) { return !it->IsIdle(); });
   server->idle.push_back(channel);
--- a/packages/edge/src/backends_reach.cc
+++ b/packages/edge/src/backends_reach.cc
@@ -38,7 +38,7 @@
   }
   // Another beginning each time: the first may be the one that is down.
   if (!found.empty()) {
-    const auto turn = static_cast<std::ptrdiff_t>(++sounded_ % found.size());
+    const auto turn = static_cast<std::ptrdiff_t>(++probed_ % found.size());
     std::rotate(found.begin(), found.begin() + turn, found.end());
   }
   return found;
@@ -46,7 +46,7 @@
 
 bool Backends::IsInReach(const Server& server) const {
   return engine::IsWithinReach(server.belief) && !IsEvacuated(server) &&
-         !sounder_->IsLost(server.belief.entry.data_centre);
+         !prober_->IsLost(server.belief.entry.data_centre);
 }
 
 bool Backends::MayServe(const Server& server,
@@ -64,18 +64,18 @@
 
 bool Backends::IsToldCutOff() const {
   return told_cut_off_ && loop_->now() - *told_cut_off_ < kToldCutOff &&
-         sounder_->heard_elsewhere() <= *told_cut_off_;
+         prober_->heard_elsewhere() <= *told_cut_off_;
 }
 
 bool Backends::IsCutOff() const {
-  if (IsToldCutOff() || sounder_->IsAlone()) return true;
+  if (IsToldCutOff() || prober_->IsAlone()) return true;
   return remote_failures_ >= kCutOffFailures &&
          loop_->now() - remote_heard_ >= kCutOffSilence;
 }
 
-void Backends::NoteHeard(Server* server) {
+void Backends::RecordContact(Server* server) {
   server->heard = loop_->now();
-  sounder_->NoteHeard(server->belief.entry.data_centre);
+  prober_->RecordContact(server->belief.entry.data_centre);
   if (server->belief.entry.data_centre == policy_.choice.own_data_centre) {
     return;
   }
@@ -99,7 +99,7 @@
     if (!it->was_sent || it->server->belief.unreachable) continue;
     const Millis open = loop_->now() - it->sent;
     if (open > it->order.overdue_after * kSignTimes) {
-      sounder_->Suspect(it->server->belief.entry.data_centre, it->sent);
+      prober_->Suspect(it->server->belief.entry.data_centre, it->sent);
     }
     if (open < it->order.overdue_after * kOverdueTimes) continue;
     DoubtSilent(it->server, it->sent);
@@ -141,7 +141,7 @@
                        server->probing = false;
                        if (!ok) {
                          NoteUnheard(*server);
-                         sounder_->NoteFailed(server->belief.entry.data_centre);
+                         prober_->NoteFailed(server->belief.entry.data_centre);
                          Probe(server);
                          return;
                        }
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -188,7 +188,7 @@
 
 bool PeerSender::TakesParts(const engine::Peer& peer,
                             const DataCentreId& where) const {
-  return peer.data_centre == where && !sounder_->IsLost(where) &&
+  return peer.data_centre == where && !prober_->IsLost(where) &&
          !IsAvoided(peer.id);
 }
 
@@ -257,7 +257,7 @@
   if (!own_ || senders_.empty()) return std::nullopt;
   auto there = engine::SendersAtHome(senders_, homes);
   std::erase_if(there, [&](auto& it) {
-    return IsAvoided(it.id) || sounder_->IsLost(it.data_centre);
+    return IsAvoided(it.id) || prober_->IsLost(it.data_centre);
   });
   const auto* chosen =
       engine::SenderFor(there, *own_, places, ++turn_,
@@ -323,9 +323,9 @@
     if (!it || !it->on_end || heard_[it->peer.id] > sent) return;
     if (own_ && it->peer.data_centre == own_->data_centre) {
       // It may wait for answers from elsewhere itself.
-      sounder_->SuspectAll(sent);
+      prober_->SuspectAll(sent);
     } else {
-      sounder_->Suspect(it->peer.data_centre, sent);
+      prober_->Suspect(it->peer.data_centre, sent);
     }
   });
   loop_->At(sent + Max(due, Millis(0)) + kSilence, [this, weak, sent] {
@@ -353,7 +353,7 @@
     }
     heard_[open->peer.id] = loop_->now();
     NoteBusy(open->peer.id, reply);
-    sounder_->NoteHeard(open->peer.data_centre);
+    prober_->RecordContact(open->peer.data_centre);
     if (open->channel->IsIdle()) idle_[open->peer.id].push_back(open->channel);
     if (reply.status == kOutOfReach) Avoid(open->peer.id);
     const bool begun =
@@ -371,7 +371,7 @@
   if (lost) {
     Log(Part::kMembers).info("peer {} lost a query", open->peer.id.text);
     Avoid(open->peer.id);
-    sounder_->NoteFailed(open->peer.data_centre);
+    prober_->NoteFailed(open->peer.data_centre);
     open->channel->Close();
     for (auto& it : std::exchange(idle_[open->peer.id], {})) it->Close();
   }
--- a/packages/edge/src/sounder.cc
+++ b/packages/edge/src/prober.cc
@@ -1,4 +1,4 @@
-#include "hibiscuspick/edge/sounder.h"
+#include "hibiscuspick/edge/prober.h"
 
 #include <algorithm>
 #include <memory>
@@ -10,7 +10,7 @@
 namespace hibiscuspick::edge {
 namespace {
 
-// Instances and servers that one sounding tries. One alone may have just ended.
+// Instances and servers that one probing tries. One alone may have just ended.
 constexpr size_t kMostTried = 3;
 
 // Servers are tried only if the instances have said nothing for this long: a
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void Sounder::SetPeers(const std::vector<engine::Peer>& peers) {
+void Prober::SetPeers(const std::vector<engine::Peer>& peers) {
   std::map<DataCentreId, std::vector<Address>> addresses;
   for (const auto& it : peers) {
     auto& there = addresses[it.data_centre];
@@ -33,88 +33,88 @@
   }
 }
 
-void Sounder::NoteHeard(const DataCentreId& where) {
+void Prober::RecordContact(const DataCentreId& where) {
   if (where == own_) return;
   heard_elsewhere_ = loop_->now();
-  if (engine::NoteHeard(&places_[where].reach, loop_->now())) {
+  if (engine::RecordContact(&places_[where].reach, loop_->now())) {
     Log(Part::kMembers).info("data centre {} is back", where.text);
-    TellIfAlone();
+    NotifyIfIsolated();
   }
 }
 
-void Sounder::NoteFailed(const DataCentreId& where) {
+void Prober::NoteFailed(const DataCentreId& where) {
   if (where == own_) return;
   auto& place = places_[where];
   if (place.failed <= place.reach.heard) place.failed = loop_->now();
   Suspect(where, place.failed);
 }
 
-void Sounder::Suspect(const DataCentreId& where, Millis since) {
+void Prober::Suspect(const DataCentreId& where, Millis since) {
   if (where == own_ || !active_) return;
   const auto& place = places_[where];
-  if (engine::WantsSounding(place.reach, since, loop_->now())) Sound(where);
+  if (engine::WantsProbe(place.reach, since, loop_->now())) Probe(where);
 }
 
-void Sounder::SuspectAll(Millis since) {
+void Prober::SuspectAll(Millis since) {
   std::vector<DataCentreId> all;
   for (const auto& [where, place] : places_) all.push_back(where);
   for (const auto& it : all) Suspect(it, since);
 }
 
-bool Sounder::IsLost(const DataCentreId& where) const {
+bool Prober::IsLost(const DataCentreId& where) const {
   const auto found = places_.find(where);
   return found != places_.end() && found->second.reach.lost;
 }
 
-bool Sounder::IsAlone() const {
+bool Prober::IsAlone() const {
   return !places_.empty() &&
          std::all_of(places_.begin(), places_.end(),
                      [](auto& it) { return it.second.reach.lost; });
 }
 
-void Sounder::TellIfAlone() {
+void Prober::NotifyIfIsolated() {
   const bool alone = IsAlone();
-  if (alone == told_alone_) return;
-  told_alone_ = alone;
-  if (on_alone_) on_alone_(alone);
+  if (alone == notified_isolated_) return;
+  notified_isolated_ = alone;
+  if (on_isolated_) on_isolated_(alone);
 }
 
-void Sounder::Sound(const DataCentreId& where) {
+void Prober::Probe(const DataCentreId& where) {
   auto& place = places_[where];
-  engine::BeginSounding(&place.reach, loop_->now());
+  engine::BeginProbe(&place.reach, loop_->now());
   Try(where, place.peers);
   loop_->At(loop_->now() + kServersAfter, [this, where] {
     const auto& reach = places_[where].reach;
     if (servers_ && reach.heard < reach.asked) Try(where, servers_(where));
   });
-  loop_->At(loop_->now() + engine::kSounding, [this, where] { End(where); });
+  loop_->At(loop_->now() + engine::kProbeTime, [this, where] { End(where); });
 }
 
-void Sounder::Try(const DataCentreId& where, const std::vector<Address>& some) {
+void Prober::Try(const DataCentreId& where, const std::vector<Address>& some) {
   size_t tried = 0;
   for (const auto& it : some) {
     if (++tried > kMostTried) return;
     const auto channel = std::make_shared<HttpChannel>(loop_);
-    channel->Connect(it, engine::kSounding, [this, where, channel](bool ok) {
-      if (ok) NoteHeard(where);
+    channel->Connect(it, engine::kProbeTime, [this, where, channel](bool ok) {
+      if (ok) RecordContact(where);
       channel->Close();
     });
   }
 }
 
-void Sounder::End(const DataCentreId& where) {
+void Prober::End(const DataCentreId& where) {
   auto& reach = places_[where].reach;
   const bool was_lost = reach.lost;
-  const auto end = engine::EndSounding(&reach, loop_->now());
-  if (end == engine::SoundingEnd::kThere) return;
+  const auto end = engine::EndProbe(&reach, loop_->now());
+  if (end == engine::ProbeEnd::kThere) return;
   if (reach.lost && !was_lost) {
     Log(Part::kMembers).warn("data centre {} can't be reached", where.text);
-    TellIfAlone();
+    NotifyIfIsolated();
   }
-  reach.sounding = true;
+  reach.probing = true;
   const Millis now = loop_->now();
-  loop_->At(now + engine::SoundingPause(reach, now),
-            [this, where] { Sound(where); });
+  loop_->At(now + engine::ProbePause(reach, now),
+            [this, where] { Probe(where); });
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -35,22 +35,21 @@
 TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
-      sounder_(loop, settings_.backends.choice.own_data_centre,
-               settings_.backends.mechanisms.soundings),
-      backends_(loop, WithNames(settings_.backends, settings_.names),
-                &sounder_),
+      prober_(loop, settings_.backends.choice.own_data_centre,
+              settings_.backends.mechanisms.reachability_probes),
+      backends_(loop, WithNames(settings_.backends, settings_.names), &prober_),
       callers_(loop, CallersPolicy()),
       readiness_(loop, ReadinessPolicy()),
       queries_(loop, QueriesPolicy()),
-      peers_(loop, &sounder_),
+      peers_(loop, &prober_),
       place_{settings_.instances, 0},
       early_(loop, settings_.names.deadline,
              [this](const auto& session, HttpRequest&& request) {
                OnRequest(session, std::move(request));
              }) {
-  sounder_.set_servers(
+  prober_.set_servers(
       [this](const auto& where) { return backends_.AddressesIn(where); });
-  sounder_.set_on_alone([this](bool alone) {
+  prober_.set_on_isolated([this](bool alone) {
     if (on_cut_off_) on_cut_off_(alone && IsUseless());
   });
   context_.loop = loop;
@@ -124,7 +123,7 @@
   if (!config_ || !backends_.IsCutOff()) return false;
   if (backends_.IsToldCutOff()) return true;
   if (told_useless_ && loop_->now() - *told_useless_ < kToldUseless &&
-      sounder_.IsAlone()) {
+      prober_.IsAlone()) {
     return true;
   }
   for (const auto& route : config_->routes) {
@@ -211,15 +210,15 @@
   if (config_) ShareOut();
 }
 
-void TrafficServer::SetSounded(const std::vector<engine::Peer>& peers) {
-  sounder_.SetPeers(peers);
+void TrafficServer::SetProbed(const std::vector<engine::Peer>& peers) {
+  prober_.SetPeers(peers);
 }
 
 void TrafficServer::LookIfCutOff() {
   if (!settings_.backends.mechanisms.told_cut_off) return;
   told_useless_ = loop_->now();
   // As if a question to each had been open for long enough.
-  sounder_.SuspectAll(loop_->now() - engine::kQuiet);
+  prober_.SuspectAll(loop_->now() - engine::kQuiet);
 }
 
 // Connections and the slack of a budget are shared by those who send: all
--- a/packages/edge/tests/sounder_test.cc
+++ b/packages/edge/tests/prober_test.cc
@@ -1,4 +1,4 @@
-#include "hibiscuspick/edge/sounder.h"
+#include "hibiscuspick/edge/prober.h"
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -52,7 +52,7 @@
   TrafficFixture fixture;
   const uint16_t port = FreePort();
   AddFarShard(&fixture, port);
-  fixture.OnLoop([&] { fixture.server().SetSounded({PeerAt(FreePort())}); });
+  fixture.OnLoop([&] { fixture.server().SetProbed({PeerAt(FreePort())}); });
   fixture.Publish();
   const Millis began = SteadyNow();
   BOOST_TEST_REQUIRE(BecomesReady(fixture, false));
@@ -77,7 +77,7 @@
     auto far = std::make_unique<RawServer>(Answers("0123456789abcdef"));
     const uint16_t port = far->port();
     AddFarShard(&fixture, port);
-    fixture.OnLoop([&] { fixture.server().SetSounded({PeerAt(port)}); });
+    fixture.OnLoop([&] { fixture.server().SetProbed({PeerAt(port)}); });
     fixture.Publish();
     if (cut) far.reset();
     const Millis told = SteadyNow();
@@ -99,7 +99,7 @@
   TrafficFixture fixture;
   RawServer far(Answers("0123456789abcdef"));
   AddFarShard(&fixture, far.port());
-  fixture.OnLoop([&] { fixture.server().SetSounded({PeerAt(FreePort())}); });
+  fixture.OnLoop([&] { fixture.server().SetProbed({PeerAt(FreePort())}); });
   fixture.Publish();
   const Millis until = SteadyNow() + Millis(1500);
   while (SteadyNow() < until) {
--- a/packages/engine/include/hibiscuspick/engine/place_reach.h
+++ b/packages/engine/include/hibiscuspick/engine/reachability.h
@@ -1,5 +1,5 @@
 // Whether another data centre can be reached, from what is heard of it and from
-// connections that are tried for nothing else ("soundings").
+// connections that are tried for nothing else ("probes").
 //
 // A cut between data centres shows at single servers only one by one, each by
 // its own silence of 400 ms and a connection that hangs: callers of the side
@@ -17,20 +17,20 @@
 // ms, but the others there speak meanwhile.
 inline constexpr Millis kQuiet{100};
 
-// How long a sounding takes: a connection needs a way there and back, and an
+// How long a probe takes: a connection needs a way there and back, and an
 // instance that is short of processor hears of it late.
-inline constexpr Millis kSounding{200};
+inline constexpr Millis kProbeTime{200};
 
-// A sounding that is looked at this much after its end tells nothing: this
+// A probe that is looked at this much after its end tells nothing: this
 // process stood still, and answers may wait unread.
 inline constexpr Millis kStoodStill{40};
 
-struct PlaceReach {
+struct Reachability {
   // When anything was heard from there.
   Millis heard{-1};
-  // When the sounding under way began.
+  // When the probing under way began.
   Millis asked{-1};
-  bool sounding = false;
+  bool probing = false;
   // Nothing sent there arrives; true until something is heard.
   bool lost = false;
   // Since when, while it is.
@@ -38,14 +38,14 @@
 };
 
 // Something was heard; true if the place had been lost.
-bool NoteHeard(PlaceReach* reach, Millis now);
+bool RecordContact(Reachability* reach, Millis now);
 
-// Whether a question sent at `since` and unanswered is reason to sound.
-bool WantsSounding(const PlaceReach& reach, Millis since, Millis now);
+// Whether a question sent at `since` and unanswered is reason to probe.
+bool WantsProbe(const Reachability& reach, Millis since, Millis now);
 
-void BeginSounding(PlaceReach* reach, Millis now);
+void BeginProbe(Reachability* reach, Millis now);
 
-enum class SoundingEnd {
+enum class ProbeEnd {
   // Something was heard.
   kThere,
   // Nothing was, from any that was tried: the place is lost now, or still.
@@ -53,12 +53,12 @@
   // It has to be tried again.
   kUnsure,
 };
-SoundingEnd EndSounding(PlaceReach* reach, Millis now);
+ProbeEnd EndProbe(Reachability* reach, Millis now);
 
-// How long to wait before the next sounding. None in the first seconds of a
+// How long to wait before the next probing. None in the first seconds of a
 // cut, so that its end shows at once; a data centre that was taken down for
 // good, whose instances' entries stay in the store, costs a try in five
 // seconds.
-Millis SoundingPause(const PlaceReach& reach, Millis now);
+Millis ProbePause(const Reachability& reach, Millis now);
 
 }  // namespace hibiscuspick::engine
--- a/packages/engine/tests/place_reach_test.cc
+++ b/packages/engine/tests/reachability_test.cc
@@ -1,4 +1,4 @@
-#include "hibiscuspick/engine/place_reach.h"
+#include "hibiscuspick/engine/reachability.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -30,43 +30,43 @@
 };
 
 BOOST_DATA_TEST_CASE(OnlySilenceOfAllIsASign, bdata::make(kSigns), row) {
-  PlaceReach reach;
+  Reachability reach;
   reach.heard = Millis(row.heard);
-  BOOST_TEST(WantsSounding(reach, Millis(row.since), Millis(row.now)) ==
+  BOOST_TEST(WantsProbe(reach, Millis(row.since), Millis(row.now)) ==
              row.wants);
 }
 
 // A data centre is cut off. Each of its servers would be found out alone, and
 // callers sent after them meanwhile.
 BOOST_AUTO_TEST_CASE(ASoundingWithoutAnAnswerLosesThePlace) {
-  PlaceReach reach;
-  NoteHeard(&reach, Millis(1000));
-  BeginSounding(&reach, Millis(1150));
-  BOOST_TEST(!WantsSounding(reach, Millis(1010), Millis(1200)));
+  Reachability reach;
+  RecordContact(&reach, Millis(1000));
+  BeginProbe(&reach, Millis(1150));
+  BOOST_TEST(!WantsProbe(reach, Millis(1010), Millis(1200)));
   BOOST_TEST(!reach.lost);
-  BOOST_TEST((EndSounding(&reach, Millis(1352)) == SoundingEnd::kLost));
+  BOOST_TEST((EndProbe(&reach, Millis(1352)) == ProbeEnd::kLost));
   BOOST_TEST(reach.lost);
-  BeginSounding(&reach, Millis(1352));
-  BOOST_TEST(NoteHeard(&reach, Millis(1400)));
+  BeginProbe(&reach, Millis(1352));
+  BOOST_TEST(RecordContact(&reach, Millis(1400)));
   BOOST_TEST(!reach.lost);
-  BOOST_TEST((EndSounding(&reach, Millis(1552)) == SoundingEnd::kThere));
-  BOOST_TEST(!NoteHeard(&reach, Millis(1600)));
+  BOOST_TEST((EndProbe(&reach, Millis(1552)) == ProbeEnd::kThere));
+  BOOST_TEST(!RecordContact(&reach, Millis(1600)));
 }
 
 // The process itself stood still for seconds; answers wait in its sockets.
 // Taken for silence, a machine that was suspended would turn its callers away
 // when it wakes.
 BOOST_AUTO_TEST_CASE(WhoStoodStillHasHeardNothingYet) {
-  PlaceReach reach;
-  NoteHeard(&reach, Millis(1000));
-  BeginSounding(&reach, Millis(1150));
-  BOOST_TEST((EndSounding(&reach, Millis(4000)) == SoundingEnd::kUnsure));
+  Reachability reach;
+  RecordContact(&reach, Millis(1000));
+  BeginProbe(&reach, Millis(1150));
+  BOOST_TEST((EndProbe(&reach, Millis(4000)) == ProbeEnd::kUnsure));
   BOOST_TEST(!reach.lost);
   // One that is lost stays so until it is heard.
-  BeginSounding(&reach, Millis(4000));
-  EndSounding(&reach, Millis(4200));
-  BeginSounding(&reach, Millis(4200));
-  BOOST_TEST((EndSounding(&reach, Millis(9000)) == SoundingEnd::kUnsure));
+  BeginProbe(&reach, Millis(4000));
+  EndProbe(&reach, Millis(4200));
+  BeginProbe(&reach, Millis(4200));
+  BOOST_TEST((EndProbe(&reach, Millis(9000)) == ProbeEnd::kUnsure));
   BOOST_TEST(reach.lost);
 }
 
@@ -84,15 +84,15 @@
     {0, 0, 0}, {8000, 0, 0}, {60000, 1000, 5000}, {86400000, 5000, 5000}};
 
 // A data centre that was taken down for good is still in the lists of
-// instances. Sounded at the rate of a cut, it would cost each instance thirty
+// instances. Probed at the rate of a cut, it would cost each instance thirty
 // connections a second for ever.
 BOOST_DATA_TEST_CASE(LongLossesAreSoundedSeldom, bdata::make(kPauses), row) {
-  PlaceReach reach;
-  BeginSounding(&reach, Millis(1000));
-  EndSounding(&reach, Millis(1200));
-  BeginSounding(&reach, Millis(1200));
-  EndSounding(&reach, Millis(1400));
-  const Millis pause = SoundingPause(reach, Millis(1200 + row.lost_for));
+  Reachability reach;
+  BeginProbe(&reach, Millis(1000));
+  EndProbe(&reach, Millis(1200));
+  BeginProbe(&reach, Millis(1200));
+  EndProbe(&reach, Millis(1400));
+  const Millis pause = ProbePause(reach, Millis(1200 + row.lost_for));
   BOOST_TEST(pause.count >= row.least);
   BOOST_TEST(pause.count <= row.most);
 }
--- a/packages/routing/include/hibiscuspick/routing/silent_peers.h
+++ b/packages/routing/include/hibiscuspick/routing/silent_peers.h
@@ -35,7 +35,7 @@
 inline constexpr size_t kMaxSilentPeers = 1000;
 
 void NoteSilent(SilentPeers* silent, const InstanceId& peer, Millis now);
-void NoteHeard(SilentPeers* silent, const InstanceId& peer);
+void RecordContact(SilentPeers* silent, const InstanceId& peer);
 
 // Puts suspects behind all others, but for one that is due for a probe.
 void PutSuspectsLast(SilentPeers* silent, std::vector<InstanceId>* candidates,
--- a/packages/routing/src/query_runner.cc
+++ b/packages/routing/src/query_runner.cc
@@ -188,7 +188,7 @@
     NoteSilent(&silent_, seen.instance, SteadyNow());
     Log(Part::kRoute).info("instance {} is silent.", seen.instance.text);
   } else {
-    NoteHeard(&silent_, seen.instance);
+    RecordContact(&silent_, seen.instance);
   }
   silent_empty_ = silent_.peers.empty();
 }
--- a/packages/routing/src/silent_peers.cc
+++ b/packages/routing/src/silent_peers.cc
@@ -26,7 +26,7 @@
   if (++it->parts == kSuspectAfter) it->next_probe = now + kProbeEvery;
 }
 
-void NoteHeard(SilentPeers* silent, const InstanceId& peer) {
+void RecordContact(SilentPeers* silent, const InstanceId& peer) {
   silent->peers.erase(peer);
 }
 
--- a/packages/routing/tests/bounds_test.cc
+++ b/packages/routing/tests/bounds_test.cc
@@ -99,7 +99,7 @@
   BOOST_TEST(order(1) == "b");
   BOOST_TEST(order(kProbeEvery.count) == "a");
   BOOST_TEST(order(kProbeEvery.count) == "b");
-  NoteHeard(&silent, InstanceId("a"));
+  RecordContact(&silent, InstanceId("a"));
   BOOST_TEST(order(1) == "a");
 }
 
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -34,7 +34,7 @@
   // Servers are avoided when the cycle of their pauses foretells one.
   bool expected_pauses = true;
   // Data centres out of reach are found out by connections of their own.
-  bool soundings = true;
+  bool reachability_probes = true;
   // A sender tells its data centre that it is cut off.
   bool told_cut_off = true;
   // Far parts are asked for and merged by a peer near them.
@@ -68,7 +68,7 @@
     MechanismName{"adapted_limit", &Mechanisms::adapted_limit},
     MechanismName{"pause_belief", &Mechanisms::pause_belief},
     MechanismName{"expected_pauses", &Mechanisms::expected_pauses},
-    MechanismName{"soundings", &Mechanisms::soundings},
+    MechanismName{"reachability_probes", &Mechanisms::reachability_probes},
     MechanismName{"told_cut_off", &Mechanisms::told_cut_off},
     MechanismName{"relays", &Mechanisms::relays},
     MechanismName{"few_senders", &Mechanisms::few_senders},
