--- a/packages/engine/src/pause_cycle.cc
+++ b/packages/engine/src/pause_cycle.cc
@@ -59,7 +59,8 @@
 }
 
 size_t CountFits(const PauseCycle& cycle, float period) {
-  const auto end = cycle.gaps.begin() + static_cast<long>(CountOf(cycle));
+  const auto end =
+      cycle.gaps.begin() + static_cast<std::ptrdiff_t>(CountOf(cycle));
   return static_cast<size_t>(std::count_if(
       cycle.gaps.begin(), end, [&](float it) { return Fits(it, period); }));
 }
