--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 
 from daemons import GRACE
-from promises import CONFIG_BOUND, DRAIN_BOUND
+from promises import CONFIG_BOUND, DRAIN_BOUND, EVACUATE_BOUND
 
 # What another writer leaves in the store where an object is due.
 STRANGE = [b"7", b"[]", b"{}", b'{"spec": {}}', b'{"meta": 3}', b'{"meta": {"Name": "\xff\xfe"}, "spec": {}}',
@@ -149,6 +149,18 @@
         await asyncio.sleep(DRAIN_BOUND + 1)
         self.world.store.remove("servers", it.name)
 
+    async def fault_evacuate(self, hold):
+        """One of the two data centres; never both, since then nothing could be served."""
+        place = self.random.choice("ab")
+        if any(end is None for _, _, end in self.world.evacuations):
+            return
+        evacuation = [place, self.now(), None]
+        self.world.evacuations.append(evacuation)
+        self.world.store.put("evacuations", place, {})
+        await asyncio.sleep(EVACUATE_BOUND + hold)
+        evacuation[2] = self.now()
+        self.world.store.remove("evacuations", place)
+
     async def fault_config(self, _hold):
         self.write_config([f"n{self.version}"])
 
@@ -162,7 +174,7 @@
     async def fault_strange_object(self, _hold):
         """Somebody else writes into the store what is no backend server's entry."""
         store = self.world.store
-        kind = self.random.choice(["servers", "servers", "hibiscuspick-instances", "config"])
+        kind = self.random.choice(["servers", "servers", "hibiscuspick-instances", "config", "evacuations"])
         if self.random.random() < 0.5:
             store.put_strange(kind, self.random.choice(STRANGE))
             return
@@ -202,7 +214,7 @@
     async def play_faults(self, until):
         kinds = [self.fault_kill, self.fault_freeze, self.fault_stop, self.fault_hup, self.fault_store,
                  self.fault_store_cut, self.fault_backend, self.fault_backend, self.fault_backend_link,
-                 self.fault_drain, self.fault_config, self.fault_peer_link, self.fault_clock,
+                 self.fault_drain, self.fault_evacuate, self.fault_config, self.fault_peer_link, self.fault_clock,
                  self.fault_log_stands, self.fault_strange_object, self.fault_entry_turns_bad]
         tasks = []
         while self.now() < until:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,7 @@
 TOP = 5
 CONFIG_BOUND = 3.0
 DRAIN_BOUND = 3.0
+EVACUATE_BOUND = 3.0
 
 
 class Promises:
@@ -74,6 +75,16 @@
                     self.breaks("drain", f"{backend.name} got {call['id']} "
                                 f"{late[0] - backend.drained_at:.1f} s after it drained")
 
+    def check_evacuations(self):
+        for place, began, ended in self.world.evacuations:
+            bound = began + EVACUATE_BOUND
+            for call in self.calls:
+                late = [at for at, by, _ in self.world.runs.get(call["id"], [])
+                        if by.place == place and bound < at < ended]
+                if late and self.calm(call["daemon"], began, late[0]):
+                    self.breaks("evacuation", f"{call['id']} ran in {place} {late[0] - began:.1f} s after "
+                                f"it was evacuated, from {call['daemon'].name}")
+
     def check_budget(self):
         groups = {}
         kinds = {call["id"]: call for call in self.calls}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -128,6 +128,7 @@
         await callers
         self.check_calls()
         self.check_drains()
+        self.check_evacuations()
         self.check_budget()
         self.check_recovery(min(calm_from, faults_end + 7))
         for it in self.daemons:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -190,6 +190,7 @@
         self.mode = "well"
         self.paused_until = 0.0
         self.drained_at = None
+        self.place = "a" if name.endswith("0") else "b"
 
     async def serve(self, reader, writer):
         loop = asyncio.get_event_loop()
@@ -268,6 +269,8 @@
         self.arrivals = []
         self.runs = {}
         self.stamps = {}
+        # [data centre, begin, end or None while it lasts]
+        self.evacuations = []
 
     def ran(self, backend, method, request, now):
         self.arrivals.append((now, backend.service, request))
@@ -286,5 +289,5 @@
     def write_entry(self, backend, state):
         self.store.put("servers", backend.name, {
             "Backend": backend.service, "Address": f"127.0.0.1:{self.proxies[backend.name].port}",
-            "Zone": "a" if backend.name.endswith("0") else "b", "Version": "v1", "Slots": 2,
+            "Zone": backend.place, "Version": "v1", "Slots": 2,
             "State": state, "WarmupLeftMs": 0, "Seq": 1})
