Read through once more: a load report is read where it is used, members of a role are counted once

A reply's load was decoded for every attempt, failures too, and kept in its result; the one place that uses it reads it now. Whether a server is at home copied the route's data centres for each server looked at. GroupShare counted the members of a role that MembersOf counts. Behaviour as before.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -19,7 +19,6 @@
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/extra_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
-#include "hibiscuspick/engine/load_report.h"
 #include "hibiscuspick/engine/server_belief.h"
 #include "hibiscuspick/settings/mechanisms.h"
 
@@ -42,8 +41,6 @@
   std::shared_ptr<engine::ServerBelief> belief;
   AttemptEnd end = AttemptEnd::kNotSent;
   HttpReply reply;
-  // Of the server, if it says.
-  std::optional<engine::LoadReport> load;
   // From the moment it was sent.
   Millis latency;
 };
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -6,6 +6,7 @@
 
 #include "backends_impl.h"
 #include "hibiscuspick/base/log.h"
+#include "hibiscuspick/engine/load_report.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -126,6 +127,8 @@
 Backends::Server* Backends::Choose(const AttemptOrder& order) {
   auto& state = StateOf(order.service);
   const Millis now = loop_->now();
+  static const engine::Homes anywhere;
+  const auto& homes = order.homes != nullptr ? *order.homes : anywhere;
   auto choice = policy_.choice;
   choice.most_open = std::min(choice.most_open, state.share.connections);
   choice.when_cold = state.share.when_cold;
@@ -142,9 +145,7 @@
   for (size_t i = 0; i < n; ++i) {
     Server* server = state.servers[(i + state.turn) % n].get();
     const auto& belief = server->belief;
-    if (!MayServe(*server, order.homes ? *order.homes : engine::Homes())) {
-      continue;
-    }
+    if (!MayServe(*server, homes)) continue;
     if (order.only_unsuspected && engine::IsSuspected(belief, now)) continue;
     if (std::find(order.excluded.begin(), order.excluded.end(),
                   belief.entry.id) != order.excluded.end()) {
@@ -273,10 +274,6 @@
   result.server = server->belief.entry.id;
   result.belief = {server, &server->belief};
   result.end = end;
-  if (!policy_.load_header.empty()) {
-    result.load =
-        engine::ReadLoadReport(FindHeader(reply.headers, policy_.load_header));
-  }
   result.reply = std::move(reply);
   result.latency = loop_->now() - attempt->sent;
   if (attempt->order.on_end) {
@@ -342,9 +339,10 @@
   auto* server = result.belief.get();
   const auto& cycle = StateOf(server->entry.service).pause_cycle;
   if (!cycle) return;
-  const double work = result.load ? result.load->work_factor : 1;
-  engine::NotePauses(&server->pauses, cycle.get(), result.latency, usual * work,
-                     loop_->now());
+  const auto load = engine::ReadLoadReport(
+      FindHeader(result.reply.headers, policy_.load_header));
+  engine::NotePauses(&server->pauses, cycle.get(), result.latency,
+                     usual * (load ? load->work_factor : 1), loop_->now());
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/prober.cc
+++ b/packages/edge/src/prober.cc
@@ -10,7 +10,7 @@
 namespace hibiscuspick::edge {
 namespace {
 
-// Instances and servers that one probing tries. One alone may have just ended.
+// Instances and servers that one probe tries. One alone may have just ended.
 constexpr size_t kMostTried = 3;
 
 // Servers are tried only if the instances have said nothing for this long: a
--- a/packages/engine/include/hibiscuspick/engine/reachability.h
+++ b/packages/engine/include/hibiscuspick/engine/reachability.h
@@ -28,7 +28,7 @@
 struct Reachability {
   // When anything was heard from there.
   Millis heard{-1};
-  // When the probing under way began.
+  // When the probe under way began.
   Millis asked{-1};
   bool probing = false;
   // Nothing sent there arrives; true until something is heard.
@@ -55,7 +55,7 @@
 };
 ProbeEnd EndProbe(Reachability* reach, Millis now);
 
-// How long to wait before the next probing. None in the first seconds of a
+// How long to wait before the next probe. None in the first seconds of a
 // cut, so that its end shows at once; a data centre that was taken down for
 // good, whose instances' entries stay in the store, costs a try in five
 // seconds.
--- a/packages/engine/src/cold_start.cc
+++ b/packages/engine/src/cold_start.cc
@@ -8,17 +8,6 @@
 // Instances differ for a moment in how many they count and who is first.
 constexpr double kKeptForChange = 0.2;
 
-double GroupShare(const SharePlan& plan, SenderRole role) {
-  const double each = SharesOf(plan, role).slack;
-  if (plan.senders == 0 || role == SenderRole::kNone) {
-    return each * static_cast<double>(plan.instances);
-  }
-  const size_t stand_ins = plan.senders - plan.first_senders;
-  const size_t members =
-      role == SenderRole::kFirst ? plan.first_senders : stand_ins;
-  return each * static_cast<double>(members);
-}
-
 size_t MembersOf(const SharePlan& plan, SenderRole role) {
   size_t members = plan.instances;
   if (plan.senders > 0 && role == SenderRole::kFirst) {
@@ -41,9 +30,10 @@
 int ColdAllowance(const ColdLimits& limits, const SharePlan& plan,
                   const GroupRank& own) {
   const double bound = limits.per_second * limits.overage + limits.slack;
-  const auto whole = static_cast<size_t>(bound * (1 - kKeptForChange) *
-                                         GroupShare(plan, own.role));
   const size_t members = MembersOf(plan, own.role);
+  const double share =
+      SharesOf(plan, own.role).slack * static_cast<double>(members);
+  const auto whole = static_cast<size_t>(bound * (1 - kKeptForChange) * share);
   const size_t more = own.rank < whole % members ? 1 : 0;
   return static_cast<int>(whole / members + more);
 }
