--- a/packages/base/include/hibiscuspick/base/ids.h
+++ b/packages/base/include/hibiscuspick/base/ids.h
@@ -38,6 +38,10 @@
 using CustomerId = Name<struct CustomerTag>;
 using BackendServerId = Name<struct BackendServerTag>;
 
+// The account of the callers that share a set of API keys, a priority and an
+// allowance.
+using ClientAccountId = Name<struct ClientAccountTag>;
+
 using ServiceId = Name<struct ServiceTag>;
 using RouteId = Name<struct RouteTag>;
 using ShardId = Name<struct ShardTag>;
--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
 
 namespace hibiscuspick::edge {
@@ -24,6 +25,9 @@
   std::string target;
   std::vector<Header> headers;
   std::string body;
+  // The account that the caller's key names, resolved by the instance that the
+  // caller is connected to; empty if there is none.
+  ClientAccountId account;
   // Network time between the caller and this instance that counts against the
   // caller's deadline (request and reply); unset if unknown.
   std::optional<Millis> network_time;
--- a/packages/edge/include/hibiscuspick/edge/wire_names.h
+++ b/packages/edge/include/hibiscuspick/edge/wire_names.h
@@ -25,6 +25,8 @@
   // shards.
   std::string part_stamps;
   std::string parts_missing;
+  // To servers: the name of the caller's account. Never taken from a caller.
+  std::string account;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -26,7 +26,8 @@
           .warmup = "Q-Warmup",
           .load = "Q-Load",
           .part_stamps = "Q-Stamps",
-          .parts_missing = "Q-Missing"};
+          .parts_missing = "Q-Missing",
+          .account = "Q-Account"};
 }
 
 // Value of a header in a serialised message; empty if it has none.
--- a/packages/engine/include/hibiscuspick/engine/traffic_config.h
+++ b/packages/engine/include/hibiscuspick/engine/traffic_config.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -63,6 +64,8 @@
   std::vector<WeightedService> split;
   std::optional<GatherRule> gather;
   AllowedDataCentres allowed_data_centres;
+  // Whether callers need no API key.
+  bool is_public = false;
 };
 
 struct Service {
@@ -83,11 +86,16 @@
   Millis idle_timeout{15000};
 };
 
+struct ClientAccounts;
+
 struct TrafficConfig {
   uint64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceId, Service> services;
   CallerLimits limits;
+  // The accounts of callers and their keys; null if the configuration has none,
+  // in which case callers need no key.
+  std::shared_ptr<const ClientAccounts> accounts;
   // Indices in `routes` by host, the longest prefix first; see IndexRoutes.
   std::unordered_map<std::string, std::vector<size_t>> by_host;
 };
