Statuses: 503 exactly where a request has not run and will not

Found by reading every place in packages/edge that ends a request:

- A relay's answer made all its missing shards count as run, also those that servers refused and those of a 503.
On a route of one attempt they were not queried again and the query failed with 502.
- A connection that the server had closed while the loop was busy took one more request, which counted as run.
- A sender that stops took queries until its exit and lost them (502).
- A part whose only servers it may have run on, or whose retry had no budget left, waited in the queue until its deadline and kept parts behind it.
- A server's own 503, 429 or 408 without "not run" was passed to the caller.
- Parts at relays did not count as possibly running when the instance stopped.
- An attempt that was connecting when its query ended was sent afterwards.
- 503 of an instance without a configuration promised readiness in 50 ms at any time, also after a power loss.

Ruled out: running a query of a lost peer again from here. Each of its parts is an extra attempt; a fan-out of 90 parts exceeds an instance's share of the budget, and the query would fail having used it up. It stays 502 if the request was written to the peer.

Change: relays name the missing shards that have not run and those refused (Hp-Shards-Not-Run, Hp-Shards-Refused); refused ones are retried on the owner's budget. Channels tell unsent requests from broken ones and notice a pending end of stream before a send. Stopping senders answer 424 and the forwarding instance runs the query. Unservable queued parts fail at once. New fault "shed" instead of no_server where servers refused. Retry-After of an instance that is not ready grows with the time it has been so.

Not tested: the attempt that was connecting, since a connection on loopback can't be held open half-made within the grace time.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -28,7 +28,7 @@
 enum class AttemptEnd {
   // A complete reply to this request arrived.
   kReply,
-  // No connection could be made, so nothing was sent.
+  // No connection could be made, or it broke before anything was sent.
   kNotSent,
   // The request was sent, but the connection broke or the reply was malformed.
   kBroken,
@@ -164,7 +164,8 @@
   size_t open_attempts() const { return attempts_.size(); }
   bool HasAvailableServer(
       const ServiceId& service,
-      const engine::AllowedDataCentres& allowed_data_centres) const;
+      const engine::AllowedDataCentres& allowed_data_centres,
+      const std::vector<BackendServerId>& excluded = {}) const;
   // Estimates queueing and service time of a part due at `due`; nullopt if none
   // of the service's servers is reachable.
   std::optional<engine::ShardEstimate> EstimateShard(
--- a/packages/edge/include/hibiscuspick/edge/byte_stream.h
+++ b/packages/edge/include/hibiscuspick/edge/byte_stream.h
@@ -47,6 +47,10 @@
   void Write(const std::string& text);
   // Whether all written bytes have been passed to the kernel.
   bool IsFlushed() const { return unsent_.empty(); }
+  // Bytes that the kernel has accepted since the connection was opened.
+  size_t bytes_written() const { return bytes_written_; }
+  // Whether bytes, the end of the stream or an error are waiting to be read.
+  bool HasInput();
 
   // Closes at once. Bytes that the kernel holds are still delivered, unless
   // received bytes are unread, in which case the kernel resets the connection.
@@ -72,6 +76,7 @@
   boost::asio::ip::tcp::socket socket_;
   Handlers handlers_;
   std::string unsent_;
+  size_t bytes_written_ = 0;
   bool close_when_flushed_ = false;
   bool lingering_ = false;
   Loop::TimerId timer_ = 0;
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -18,6 +18,9 @@
   kReply,
   // The connection broke or the reply was malformed.
   kBroken,
+  // The connection broke before the kernel had accepted any byte of the
+  // request.
+  kUnsent,
 };
 
 // Keeps reading while idle. Unsolicited bytes from the server (a duplicate or
@@ -47,6 +50,10 @@
   void Send(Exchange exchange);
 
   bool IsIdle() const { return open_ && !busy_; }
+  // Whether the server has closed the idle connection, or sent something that
+  // will close it, and the loop has not handled that yet. A request sent now
+  // would be lost, and could not be repeated if it is not idempotent.
+  bool HasEnded() { return stream_->HasInput(); }
   // Time of the last reply, or of the connect if there was none.
   Millis idle_since() const { return idle_since_; }
   // Closes the connection. A request in flight gets no callback.
@@ -64,6 +71,7 @@
   std::unique_ptr<ReplyReader> reader_;
   Exchange exchange_;
   Millis idle_since_;
+  size_t written_before_ = 0;
   bool open_ = false;
   bool busy_ = false;
   bool skipped_reply_ = false;
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -48,6 +48,11 @@
 // In every answer to such a query: indices of the missing shards that have used
 // all attempts the route allows.
 inline constexpr std::string_view kShardsExhaustedHeader = "Hp-Shards-Spent";
+// In every answer to such a query: indices of the missing shards that have run
+// on no server and will not, and those among them that servers have refused.
+// The latter have used their first attempt.
+inline constexpr std::string_view kShardsNotRunHeader = "Hp-Shards-Not-Run";
+inline constexpr std::string_view kShardsRefusedHeader = "Hp-Shards-Refused";
 // In the first answer: indices of the shards that may still reply, and the
 // token with which to ask for them within kRemainderTtl.
 inline constexpr std::string_view kShardsOpenHeader = "Hp-Shards-Open";
@@ -73,9 +78,9 @@
 // answer, and all answers of one instance, must come from one version.
 inline constexpr int kVersionMismatchStatus = 409;
 // Status of a peer that cannot reach enough servers, before any has run the
-// query. The forwarding instance then sends the query itself and so finds out
-// whether it is cut off too. From the peer's refusals alone it would keep
-// accepting callers that the balancer could send elsewhere.
+// query, or that is stopping. The forwarding instance then sends the query
+// itself and so finds out whether it is cut off too. From the peer's refusals
+// alone it would keep accepting callers that the balancer could send elsewhere.
 inline constexpr int kServersUnreachableStatus = 424;
 // In that answer: the peer's data centre is cut off from the others.
 inline constexpr std::string_view kCutOffHeader = "Hp-Cut-Off";
@@ -130,8 +135,9 @@
 
   // Forwards a query. `on_end` is called once, unless the returned function is
   // called first to cancel it (the caller has disconnected); the peer learns of
-  // that by the closed connection.
-  std::function<void()> Send(const engine::Peer& peer, std::string text,
+  // that by the closed connection. That function returns whether the peer may
+  // have the query.
+  std::function<bool()> Send(const engine::Peer& peer, std::string text,
                              bool is_head, const Times& times, OnEnd on_end);
 
  private:
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -64,6 +64,8 @@
   kNone,
   // No server was available; the request has not run.
   kNoServer,
+  // Only servers that refused the request were available; it has not run.
+  kShed,
   // No slot became free in time; the request has not run.
   kNoRoom,
   // Refused by admission control, since its shards' queues are too long; the
@@ -216,7 +218,8 @@
                      ForwardResult result, const HttpReply& reply);
   // Handles a peer's answer for these shards: takes the results received, keeps
   // track of those that may still come, and queries the others from here.
-  // `may_have_run`: the peer may have sent them to servers.
+  // `may_have_run`: the peer may have sent them to servers, except those that
+  // its answer names as not run.
   void HandlePeerAnswer(const std::vector<size_t>& shards,
                         const engine::Peer& peer, ForwardResult result,
                         const HttpReply& reply, bool may_have_run);
@@ -235,6 +238,11 @@
   std::vector<size_t> OpenShards() const;
   std::vector<size_t> ExhaustedShards() const;
   void RecordExhausted(const HttpReply& reply);
+  // Adds to an answer to a peer what it must know of the missing shards.
+  // `stopped`: no part is continued after this answer.
+  void AddShardStates(bool stopped, std::vector<Header>* headers) const;
+  // Takes back from the parts what a peer's answer says has not run.
+  void RecordNotRun(const std::vector<size_t>& shards, const HttpReply& reply);
   QueryOutcome OutcomeOf(HttpReply reply, QueryFault fault) const;
   void EnqueuePart(size_t i, bool extra);
   bool TryStartPart(size_t i, ExtraAttempt extra);
@@ -249,6 +257,7 @@
   void RecordWarmup(const AttemptResult& result);
   void OnFailedAttempt(size_t i, const AttemptResult& result);
   void RetryPart(size_t i, bool may_have_run);
+  bool MayWait(const Part& part, bool is_extra) const;
   void HedgeParts();
   bool MayHedge(const Part& part) const;
   // Whether the route allows an attempt at one more server.
@@ -262,6 +271,8 @@
   HttpReply ErrorReply(int status, QueryFault fault) const;
   void Fail(QueryFault fault);
   Millis RetryAfterNoServer() const;
+  // Why a request fails that no server can be tried for any more.
+  QueryFault FaultOfFailedParts() const;
   void Finish(HttpReply reply, QueryFault fault);
   std::string DescribeMissing() const;
   std::string DescribeCapacity() const;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -149,8 +149,10 @@
   engine::RouteLatency* RouteLatencyOf(const engine::Route& route);
   // The data centres that have servers of nearly all shards of the route.
   const std::vector<DataCentreId>& DataCentresOf(const engine::Route& route);
+  // The default Retry-After suffices for the load balancer to send the retry to
+  // another instance.
   void Refuse(HttpSession* session, const HttpRequest& request, int status,
-              std::string_view reason);
+              std::string_view reason, Millis retry_after = Millis(50));
   void MeasureLoopLag();
   void AddGauges();
   void AnswerRemaining();
@@ -181,6 +183,7 @@
   std::optional<Millis> unable_reported_at_;
   std::function<void(bool)> on_cut_off_;
   Millis stop_started_at_;
+  Millis listening_since_;
   EarlyRequests early_requests_;
   RequestLog request_log_;
   std::map<RouteId, std::unique_ptr<engine::RouteLatency>> route_latencies_;
@@ -201,7 +204,7 @@
   struct ForwardedRequest {
     std::shared_ptr<HttpSession> session;
     HttpRequest request;
-    std::function<void()> cancel;
+    std::function<bool()> cancel;
   };
   std::unordered_map<HttpSession*, ForwardedRequest> forwarded_requests_;
 };
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -84,12 +84,15 @@
 
 bool Backends::HasAvailableServer(
     const ServiceId& service,
-    const engine::AllowedDataCentres& allowed_data_centres) const {
+    const engine::AllowedDataCentres& allowed_data_centres,
+    const std::vector<BackendServerId>& excluded) const {
   const auto found = services_.find(service);
   if (found == services_.end()) return false;
   const auto& servers = found->second->servers;
   return std::any_of(servers.begin(), servers.end(), [&](auto& it) {
-    return MayServe(*it, allowed_data_centres);
+    return MayServe(*it, allowed_data_centres) &&
+           std::find(excluded.begin(), excluded.end(), it->view.entry.id) ==
+               excluded.end();
   });
 }
 
@@ -212,6 +215,10 @@
     auto channel = idle.back();
     idle.pop_back();
     if (!channel->IsIdle()) continue;
+    if (channel->HasEnded()) {
+      channel->Close();
+      continue;
+    }
     const Millis age = loop_->now() - channel->idle_since();
     const Millis max_age = not_idempotent ? server->idle_timeout * 0.5
                                           : server->idle_timeout * 0.9;
@@ -272,7 +279,10 @@
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
   } else {
-    EndAttempt(id, AttemptEnd::kBroken, {});
+    EndAttempt(id,
+               end == ExchangeEnd::kUnsent ? AttemptEnd::kNotSent
+                                           : AttemptEnd::kBroken,
+               {});
   }
 }
 
@@ -312,7 +322,9 @@
   const auto& queue = StateOf(attempt.server->view.entry.service).queue;
   const bool blocks_queue =
       policy_.mechanisms.preempt_abandoned && !queue.empty();
-  if (!stop_server && !blocks_queue) {
+  // A request that is still connecting is not sent any more: its query may
+  // have been answered as one that has not run.
+  if (!stop_server && !blocks_queue && attempt.was_sent) {
     // The reply is still a latency sample of the server.
     attempt.spec.on_end = [this, median_latency = attempt.spec.median_latency](
                               const AttemptResult& it) {
--- a/packages/edge/src/byte_stream.cc
+++ b/packages/edge/src/byte_stream.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <cerrno>
 #include <utility>
 
 namespace hibiscuspick::edge {
@@ -106,6 +107,13 @@
   return Millis(info.tcpi_rtt / kMicrosPerMilli);
 }
 
+bool ByteStream::HasInput() {
+  char byte = 0;
+  const ssize_t n =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void ByteStream::Start(Handlers handlers) {
   handlers_ = std::move(handlers);
   WaitReadable();
@@ -155,6 +163,7 @@
     loop_->Post([self = shared_from_this()] { self->End(StreamEnd::kBroken); });
     return;
   }
+  bytes_written_ += ec ? 0 : n;
   unsent_.erase(0, ec ? 0 : n);
   if (!unsent_.empty()) {
     WaitWritable();
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -31,6 +31,7 @@
   exchange_ = std::move(exchange);
   reader_ = std::make_unique<ReplyReader>(exchange_.is_head,
                                           exchange_.max_reply_bytes);
+  written_before_ = stream_->bytes_written();
   stream_->Write(std::exchange(exchange_.text, std::string()));
 }
 
@@ -75,7 +76,8 @@
       return;
     }
   }
-  Finish(ExchangeEnd::kBroken, {});
+  const bool is_unsent = stream_->bytes_written() == written_before_;
+  Finish(is_unsent ? ExchangeEnd::kUnsent : ExchangeEnd::kBroken, {});
 }
 
 void HttpChannel::Finish(ExchangeEnd end, HttpReply reply) {
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -294,7 +294,7 @@
   return *chosen;
 }
 
-std::function<void()> PeerSender::Send(const engine::Peer& peer,
+std::function<bool()> PeerSender::Send(const engine::Peer& peer,
                                        std::string text, bool is_head,
                                        const Times& times, OnEnd on_end) {
   auto query = std::make_shared<OpenQuery>();
@@ -314,7 +314,8 @@
     auto channel = std::move(idle.back());
     idle.pop_back();
     if (!channel->IsIdle()) continue;
-    if (loop_->now() - channel->idle_since() > kMaxIdleTime) {
+    if (channel->HasEnded() ||
+        loop_->now() - channel->idle_since() > kMaxIdleTime) {
       channel->Close();
       continue;
     }
@@ -339,6 +340,7 @@
     query->on_end = nullptr;
     loop_->Cancel(std::exchange(query->timer, 0));
     query->channel->Close();
+    return query->sent;
   };
 }
 
@@ -387,7 +389,10 @@
   exchange.max_reply_bytes = kMaxAnswerBytes;
   exchange.on_reply = [this, query](ExchangeEnd end, HttpReply reply) {
     if (end != ExchangeEnd::kReply) {
-      Finish(query, ForwardResult::kBroken, {});
+      Finish(query,
+             end == ExchangeEnd::kUnsent ? ForwardResult::kNotStarted
+                                         : ForwardResult::kBroken,
+             {});
       return;
     }
     last_contact_[query->peer.id] = loop_->now();
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -6,12 +6,11 @@
 
 #include "hibiscuspick/edge/peer_sender.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/engine/refusal.h"
 
 namespace hibiscuspick::edge {
 namespace {
 
-constexpr double kMillisPerSecond = 1000;
-
 // Tolerance for answers sent by the timer of the answer time.
 constexpr Millis kAnswerTimeTolerance{5};
 
@@ -33,6 +32,8 @@
       return "none";
     case QueryFault::kNoServer:
       return "no_server";
+    case QueryFault::kShed:
+      return "shed";
     case QueryFault::kNoRoom:
       return "no_room";
     case QueryFault::kOverloaded:
@@ -48,8 +49,17 @@
 }
 
 bool QueryRun::MayHaveRun() const {
-  return std::any_of(parts_.begin(), parts_.end(),
-                     [](auto& it) { return !it.may_have_run_on.empty(); });
+  // A part that a peer still has may be running there.
+  return std::any_of(parts_.begin(), parts_.end(), [](auto& it) {
+    return !it.may_have_run_on.empty() || it.relayed;
+  });
+}
+
+QueryFault QueryRun::FaultOfFailedParts() const {
+  if (MayHaveRun()) return QueryFault::kServersFailed;
+  const bool was_refused = std::any_of(
+      parts_.begin(), parts_.end(), [](auto& it) { return it.refusals > 0; });
+  return was_refused ? QueryFault::kShed : QueryFault::kNoServer;
 }
 
 void QueryRun::Answer() {
@@ -99,9 +109,7 @@
   reply.headers.push_back({context_->names->request_id, request_id_});
   reply.headers.push_back({"Content-Type", "application/json"});
   if (status == 503) {
-    reply.headers.push_back(
-        {"Retry-After",
-         fmt::format("{:.3f}", retry_after_.count / kMillisPerSecond)});
+    reply.headers.push_back({"Retry-After", engine::InSeconds(retry_after_)});
   }
   reply.body = R"({"error":")" + std::string(FaultName(fault)) + R"("})";
   return reply;
@@ -118,11 +126,14 @@
 }
 
 void QueryRun::Fail(QueryFault fault) {
-  if (fault == QueryFault::kNoServer) retry_after_ = RetryAfterNoServer();
-  // For a plain request the server's own reply is passed to the caller,
-  // whatever its status.
+  if (fault == QueryFault::kNoServer || fault == QueryFault::kShed) {
+    retry_after_ = RetryAfterNoServer();
+  }
+  // For a plain request the server's own reply is passed to the caller, unless
+  // its status would tell the caller that nothing has run.
   if (!route_->gather && parts_[0].failure &&
-      fault == QueryFault::kServersFailed) {
+      fault == QueryFault::kServersFailed &&
+      !engine::PromisesNotRun(parts_[0].failure->status)) {
     HttpReply reply = std::move(*parts_[0].failure);
     reply.headers = EndToEndHeaders(reply.headers);
     Finish(std::move(reply), fault);
@@ -186,15 +197,16 @@
 }
 
 void QueryRun::Finish(HttpReply reply, QueryFault fault) {
-  if (!shard_indices_.empty()) {
-    reply.headers.push_back({std::string(kShardsExhaustedHeader),
-                             FormatIndices(ExhaustedShards())});
-  }
-  QueryOutcome outcome = OutcomeOf(std::move(reply), fault);
   const bool in_time = context_->loop->now() < deadlines_.deadline;
+  std::vector<size_t> open_shards;
   if (!shard_indices_.empty() && fault == QueryFault::kNone && in_time) {
-    outcome.open_shards = OpenShards();
+    open_shards = OpenShards();
   }
+  if (!shard_indices_.empty()) {
+    AddShardStates(open_shards.empty(), &reply.headers);
+  }
+  QueryOutcome outcome = OutcomeOf(std::move(reply), fault);
+  outcome.open_shards = std::move(open_shards);
   if (outcome.open_shards.empty()) {
     StopParts(false);
   } else {
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -4,6 +4,7 @@
 
 #include "hibiscuspick/edge/peer_sender.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/engine/refusal.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -101,14 +102,16 @@
                                 const HttpReply& reply, bool may_have_run) {
   for (const size_t i : shards) parts_[i].relayed = false;
   RecordExhausted(reply);
+  RecordNotRun(shards, reply);
   const bool is_usable =
       result == ForwardResult::kAnswered && TakePeerResults(shards, reply);
   if (is_usable) AddRemainder(shards, peer, reply);
   for (const size_t i : shards) {
     if (parts_[i].received || parts_[i].relayed || done_) continue;
     // Querying again what servers may have run is a retry.
-    if (may_have_run) {
-      RetryPart(i, true);
+    const bool ran = may_have_run && !parts_[i].may_have_run_on.empty();
+    if (ran || parts_[i].refusals > 0) {
+      RetryPart(i, ran);
     } else {
       StartPart(i);
     }
@@ -126,6 +129,29 @@
   return exhausted;
 }
 
+void QueryRun::AddShardStates(bool stopped,
+                              std::vector<Header>* headers) const {
+  std::vector<size_t> not_run;
+  std::vector<size_t> refused;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    const auto& it = parts_[i];
+    const bool will_run = !stopped && !it.failed && !it.deferred;
+    if (will_run || it.received || it.excluded || it.relayed ||
+        !it.may_have_run_on.empty()) {
+      continue;
+    }
+    not_run.push_back(shard_indices_[i]);
+    if (it.refusals > 0) refused.push_back(shard_indices_[i]);
+  }
+  const auto add = [&](std::string_view name,
+                       const std::vector<size_t>& shards) {
+    headers->push_back({std::string(name), FormatIndices(shards)});
+  };
+  add(kShardsExhaustedHeader, ExhaustedShards());
+  add(kShardsNotRunHeader, not_run);
+  add(kShardsRefusedHeader, refused);
+}
+
 void QueryRun::RecordExhausted(const HttpReply& reply) {
   const auto exhausted =
       ParseIndices(FindHeader(reply.headers, kShardsExhaustedHeader));
@@ -136,6 +162,29 @@
   }
 }
 
+// Without this, a shard that servers refused counted as run once a relay had
+// asked them, and was neither queried again on routes of one attempt nor
+// reported as not run.
+void QueryRun::RecordNotRun(const std::vector<size_t>& shards,
+                            const HttpReply& reply) {
+  const bool none_ran = engine::PromisesNotRun(reply.status);
+  const auto not_run =
+      ParseIndices(FindHeader(reply.headers, kShardsNotRunHeader));
+  const auto refused =
+      ParseIndices(FindHeader(reply.headers, kShardsRefusedHeader));
+  const auto contains = [](const auto& indices, size_t i) {
+    return indices &&
+           std::find(indices->begin(), indices->end(), i) != indices->end();
+  };
+  for (const size_t i : shards) {
+    auto& part = parts_[i];
+    if (contains(refused, i)) ++part.refusals;
+    if (!none_ran && !contains(not_run, i)) continue;
+    // Peers' attempts are recorded without a server.
+    std::erase(part.may_have_run_on, BackendServerId());
+  }
+}
+
 // Takes the parts that a peer's answer names; false if the answer is not
 // usable.
 bool QueryRun::TakePeerResults(const std::vector<size_t>& shards,
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -34,17 +34,23 @@
                             : is_urgent ? ExtraAttempt::kUrgent
                                         : ExtraAttempt::kOptional;
   if (TryStartPart(i, kind)) return;
-  auto& backends = *context_->backends;
-  if (!backends.HasAvailableServer(part.service,
-                                   route_->allowed_data_centres) ||
-      kind == ExtraAttempt::kOptional ||
-      (is_extra && !backends.HasExtraAttempt(budget_service_, 0))) {
+  if (kind == ExtraAttempt::kOptional || !MayWait(part, is_extra)) {
     part.failed = true;
     return;
   }
   EnqueuePart(i, is_extra);
 }
 
+// Whether a server can still take the part. A part that waited for a server on
+// which it may already have run, or for budget, was held until the deadline and
+// kept the parts behind it in the queue from starting.
+bool QueryRun::MayWait(const Part& part, bool is_extra) const {
+  auto& backends = *context_->backends;
+  return backends.HasAvailableServer(part.service, route_->allowed_data_centres,
+                                     part.may_have_run_on) &&
+         (!is_extra || backends.HasExtraAttempt(budget_service_, 0));
+}
+
 bool QueryRun::MayHedge(const Part& part) const {
   return mechanisms().hedging &&
          route_->idempotency == engine::Idempotency::kIdempotent &&
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -157,12 +157,9 @@
     if (self->done_ || it.received || it.failed) return true;
     if (!self->TryStartPart(
             i, extra ? ExtraAttempt::kUrgent : ExtraAttempt::kNone)) {
-      const auto& backends = *self->context_->backends;
-      if (backends.HasAvailableServer(it.service,
-                                      self->route_->allowed_data_centres)) {
-        return false;
-      }
-      // The last available server was lost while the part waited.
+      if (self->MayWait(it, extra)) return false;
+      // The last available server, or the budget, was lost while the part
+      // waited.
       it.queue_key.reset();
       it.failed = true;
       self->Advance();
@@ -345,7 +342,7 @@
       Answer();
       return;
     case GatherStep::kFail:
-      Fail(MayHaveRun() ? QueryFault::kServersFailed : QueryFault::kNoServer);
+      Fail(FaultOfFailedParts());
       return;
     case GatherStep::kTimedOut:
       if (needed_by_peer_ > 0 && progress.received > 0) {
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -25,6 +25,14 @@
 
 void TrafficServer::OnForwardedQuery(
     const std::shared_ptr<HttpSession>& session, HttpRequest request) {
+  // The sender is about to exit: the query would be lost with it.
+  if (stopping_ &&
+      loop_->now() - stop_started_at_ >= settings_.stop_refuse_after) {
+    HttpReply reply;
+    reply.status = kServersUnreachableStatus;
+    session->Reply(reply);
+    return;
+  }
   const auto forwarded = ExtractForwardingHeaders(&request.headers);
   if (forwarded && !forwarded->remainder.token.empty()) {
     OnRemainderRequested(session, *forwarded);
@@ -57,7 +65,9 @@
   const auto add = [&](std::string_view name, std::string value) {
     answer.headers.push_back({std::string(name), std::move(value)});
   };
-  if (outcome.fault == QueryFault::kNoServer && !outcome.may_have_run) {
+  const bool runs_elsewhere = outcome.fault == QueryFault::kNoServer ||
+                              outcome.fault == QueryFault::kStopping;
+  if (runs_elsewhere && !outcome.may_have_run) {
     answer.status = kServersUnreachableStatus;
     if (IsUnableToServe()) add(kCutOffHeader, "1");
   }
@@ -197,8 +207,9 @@
   const auto running = running_;
   for (const auto& it : running) it->AnswerNow();
   for (auto& [session, it] : std::exchange(forwarded_requests_, {})) {
-    if (it.cancel) it.cancel();
-    Refuse(it.session.get(), it.request, 502, "peer_lost");
+    const bool may_have_run = it.cancel && it.cancel();
+    Refuse(it.session.get(), it.request, may_have_run ? 502 : 503,
+           may_have_run ? "peer_lost" : "leaving");
   }
 }
 
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "hibiscuspick/base/log.h"
+#include "hibiscuspick/engine/refusal.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -22,10 +23,6 @@
 // microseconds.
 constexpr Millis kLoopLagInterval{500};
 
-// Retry-After in seconds for requests refused before anything ran; the load
-// balancer can send the retry to another instance.
-constexpr std::string_view kShortRetryAfter = "0.05";
-
 // How long a peer's report of a cut is used; the peer repeats it in each state
 // update, at the latest after kPeerPollWait.
 constexpr Millis kUnableReportTtl{2500};
@@ -147,6 +144,7 @@
 }
 
 Result<Done> TrafficServer::Listen() {
+  listening_since_ = SteadyNow();
   if (settings_.backends.mechanisms.early_request_queue) {
     early_requests_.StartHolding();
   }
@@ -296,7 +294,8 @@
 }
 
 void TrafficServer::Refuse(HttpSession* session, const HttpRequest& request,
-                           int status, std::string_view reason) {
+                           int status, std::string_view reason,
+                           Millis retry_after) {
   const auto id = FindHeader(request.headers, settings_.names.request_id);
   request_log_.LogRefusal(id, status, reason, loop_->now());
   metrics_.CountRefused();
@@ -304,7 +303,7 @@
   reply.status = status;
   reply.headers.push_back({settings_.names.request_id, std::string(id)});
   if (status == 503) {
-    reply.headers.push_back({"Retry-After", std::string(kShortRetryAfter)});
+    reply.headers.push_back({"Retry-After", engine::InSeconds(retry_after)});
   }
   reply.body = R"({"error":")" + std::string(reason) + R"("})";
   session->Reply(reply);
@@ -314,7 +313,8 @@
                               HttpRequest request) {
   if (!config_ || !has_servers_) {
     if (early_requests_.Hold(session, &request)) return;
-    Refuse(session.get(), request, 503, "not_ready");
+    Refuse(session.get(), request, 503, "not_ready",
+           engine::RetryAfterNotReady(loop_->now() - listening_since_));
     return;
   }
   if (stopping_ &&
