Count the bytes exchanged with other data centres by purpose

Change: hibiscuspick_edge_remote_bytes_total with purpose and direction, counted by the side that opened the connection. No behaviour changes.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -127,8 +127,10 @@
 class Backends {
  public:
   // `prober` must outlive this object; it is notified of every contact with a
-  // server.
-  Backends(Loop* loop, BackendsPolicy policy, Prober* prober);
+  // server. `part_bytes` counts the bytes of attempts at servers in other data
+  // centres.
+  Backends(Loop* loop, BackendsPolicy policy, Prober* prober,
+           const ByteCounters* part_bytes);
   ~Backends();
 
   void SetServers(const std::vector<engine::ServerEntry>& entries);
@@ -213,6 +215,8 @@
   ServiceState& StateOf(const ServiceId& service);
   engine::ExtraAttemptLimits LimitsOf(const ServiceState& state) const;
   Server* ChooseServer(const AttemptSpec& spec);
+  // Counts the bytes of the channel if its server is in another data centre.
+  void CountRemoteBytes(HttpChannel* channel, const Server& server) const;
   std::shared_ptr<HttpChannel> TakeIdleChannel(Server* server,
                                                bool not_idempotent);
   void ConnectFor(const std::shared_ptr<Server>& server, AttemptId id);
@@ -248,6 +252,7 @@
   Loop* const loop_;
   const BackendsPolicy policy_;
   Prober* const prober_;
+  const ByteCounters* const part_bytes_;
   // When the sender of this data centre last reported that it is cut off.
   std::optional<Millis> cut_off_reported_at_;
   std::set<DataCentreId> evacuated_;
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -10,6 +10,7 @@
 #include "hibiscuspick/edge/byte_stream.h"
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/remote_traffic.h"
 
 namespace hibiscuspick::edge {
 
@@ -46,6 +47,10 @@
   // channel is closed first.
   void Send(Exchange exchange);
 
+  // Counts the bytes of the following exchanges; null to count none. The
+  // counters must outlive the channel.
+  void set_byte_counters(const ByteCounters* it) { byte_counters_ = it; }
+
   bool IsIdle() const { return open_ && !busy_; }
   // Time of the last reply, or of the connect if there was none.
   Millis idle_since() const { return idle_since_; }
@@ -64,6 +69,7 @@
   std::unique_ptr<ReplyReader> reader_;
   Exchange exchange_;
   Millis idle_since_;
+  const ByteCounters* byte_counters_ = nullptr;
   bool open_ = false;
   bool busy_ = false;
   bool skipped_reply_ = false;
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -84,8 +84,10 @@
  public:
   using OnEnd = std::function<void(ForwardResult, HttpReply)>;
 
-  // `prober` must outlive this object; it is notified of replies and failures.
-  PeerSender(Loop* loop, Prober* prober) : loop_(loop), prober_(prober) {}
+  // `prober` and `remote_traffic` must outlive this object. The prober is
+  // notified of replies and failures.
+  PeerSender(Loop* loop, Prober* prober, const RemoteTraffic* remote_traffic)
+      : loop_(loop), prober_(prober), remote_traffic_(remote_traffic) {}
   ~PeerSender();
   PeerSender(const PeerSender&) = delete;
   PeerSender& operator=(const PeerSender&) = delete;
@@ -130,9 +132,11 @@
 
   // Forwards a query. `on_end` is called once, unless the returned function is
   // called first to cancel it (the caller has disconnected); the peer learns of
-  // that by the closed connection.
-  std::function<void()> Send(const engine::Peer& peer, std::string text,
-                             bool is_head, const Times& times, OnEnd on_end);
+  // that by the closed connection. `purpose` counts the bytes if the peer is in
+  // another data centre.
+  std::function<void()> Send(const engine::Peer& peer, RemotePurpose purpose,
+                             std::string text, bool is_head, const Times& times,
+                             OnEnd on_end);
 
  private:
   struct OpenQuery;
@@ -152,6 +156,7 @@
 
   Loop* const loop_;
   Prober* const prober_;
+  const RemoteTraffic* const remote_traffic_;
   std::optional<engine::Peer> own_;
   std::vector<engine::Peer> senders_;
   std::vector<engine::Peer> relays_;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -23,6 +23,7 @@
 #include "hibiscuspick/edge/peer_sender.h"
 #include "hibiscuspick/edge/query_metrics.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/edge/remote_traffic.h"
 #include "hibiscuspick/edge/request_log.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/route_latency.h"
@@ -66,6 +67,7 @@
 
   // Registry in which other components of the process add their metrics.
   metrics::Registry* registry() { return metrics_.registry(); }
+  const RemoteTraffic& remote_traffic() const { return remote_traffic_; }
 
   // Puts a configuration or server list in force; call on the loop's thread. A
   // configuration with a version lower than the current one is ignored.
@@ -158,6 +160,8 @@
 
   Loop* const loop_;
   const TrafficSettings settings_;
+  QueryMetrics metrics_;
+  RemoteTraffic remote_traffic_;
   Prober prober_;
   Backends backends_;
   QueryContext context_;
@@ -165,7 +169,6 @@
   HttpListener readiness_;
   HttpListener peer_queries_;
   PeerSender peers_;
-  QueryMetrics metrics_;
   InstancePosition own_position_;
   // Latency of forwarding a query to a peer in this data centre and in another,
   // without the peer's processing time. The initial values are one and a half
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -27,8 +27,12 @@
 
 }  // namespace
 
-Backends::Backends(Loop* loop, BackendsPolicy policy, Prober* prober)
-    : loop_(loop), policy_(std::move(policy)), prober_(prober) {
+Backends::Backends(Loop* loop, BackendsPolicy policy, Prober* prober,
+                   const ByteCounters* part_bytes)
+    : loop_(loop),
+      policy_(std::move(policy)),
+      prober_(prober),
+      part_bytes_(part_bytes) {
   silence_timer_ = loop_->RunAt(SteadyNow() + kSilenceCheckInterval,
                                 [this] { CheckSilentServers(); });
 }
@@ -223,6 +227,7 @@
 
 void Backends::ConnectFor(const std::shared_ptr<Server>& server, AttemptId id) {
   auto channel = std::make_shared<HttpChannel>(loop_);
+  CountRemoteBytes(channel.get(), *server);
   attempts_.at(id)->channel = channel;
   channel->Connect(server->view.entry.address, policy_.connect_timeout,
                    [this, server, channel, id](bool ok) {
@@ -245,6 +250,13 @@
                    });
 }
 
+void Backends::CountRemoteBytes(HttpChannel* channel,
+                                const Server& server) const {
+  if (server.view.entry.data_centre != policy_.choice.own_data_centre) {
+    channel->set_byte_counters(part_bytes_);
+  }
+}
+
 void Backends::SendOnChannel(const std::shared_ptr<HttpChannel>& channel,
                              AttemptId id) {
   auto& attempt = *attempts_.at(id);
--- a/packages/edge/src/backends_reachability.cc
+++ b/packages/edge/src/backends_reachability.cc
@@ -143,6 +143,7 @@
       return;
     }
     auto channel = std::make_shared<HttpChannel>(loop_);
+    CountRemoteBytes(channel.get(), *server);
     channel->Connect(server->view.entry.address, policy_.connect_timeout,
                      [this, server, channel](bool ok) {
                        server->probing = false;
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -31,6 +31,7 @@
   exchange_ = std::move(exchange);
   reader_ = std::make_unique<ReplyReader>(exchange_.is_head,
                                           exchange_.max_reply_bytes);
+  if (byte_counters_) byte_counters_->sent->Add(exchange_.text.size());
   stream_->Write(std::exchange(exchange_.text, std::string()));
 }
 
@@ -39,6 +40,7 @@
     Close();
     return;
   }
+  if (byte_counters_) byte_counters_->received->Add(bytes.size());
   buffer_.append(bytes);
   while (busy_ && !buffer_.empty() && ParseReply()) {
   }
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -166,6 +166,8 @@
   bool is_head = false;
   std::shared_ptr<HttpChannel> channel;
   Loop::TimerId timer = 0;
+  // Null if the peer is in this data centre.
+  const ByteCounters* byte_counters = nullptr;
   bool sent = false;
   OnEnd on_end;
 };
@@ -295,10 +297,14 @@
 }
 
 std::function<void()> PeerSender::Send(const engine::Peer& peer,
-                                       std::string text, bool is_head,
-                                       const Times& times, OnEnd on_end) {
+                                       RemotePurpose purpose, std::string text,
+                                       bool is_head, const Times& times,
+                                       OnEnd on_end) {
   auto query = std::make_shared<OpenQuery>();
   query->peer = peer;
+  if (own_ && peer.data_centre != own_->data_centre) {
+    query->byte_counters = remote_traffic_->CountersOf(purpose);
+  }
   query->text = std::move(text);
   query->is_head = is_head;
   query->on_end = std::move(on_end);
@@ -381,6 +387,7 @@
 
 void PeerSender::SendOnChannel(const std::shared_ptr<OpenQuery>& query) {
   query->sent = true;
+  query->channel->set_byte_counters(query->byte_counters);
   HttpChannel::Exchange exchange;
   exchange.text = std::move(query->text);
   exchange.is_head = query->is_head;
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -67,9 +67,9 @@
   query.config_version = config_->version;
   HttpRequest sent = UpstreamRequest();
   AddForwardingHeaders(query, &sent.headers);
-  cancel_relays_.push_back(
-      context_->peers->Send(peer, ToText(sent), request_.method == "HEAD",
-                            {due, due + kRelayGrace}, on_end));
+  cancel_relays_.push_back(context_->peers->Send(
+      peer, RemotePurpose::kRelays, ToText(sent), request_.method == "HEAD",
+      {due, due + kRelayGrace}, on_end));
 }
 
 void QueryRun::OnRelayAnswer(const engine::RelayGroup& group,
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -147,7 +147,8 @@
     if (!node.empty() && node.mapped().cancel) node.mapped().cancel();
   });
   auto cancel = peers_.Send(
-      *peer, ToText(sent), request.method == "HEAD",
+      *peer, RemotePurpose::kForwardedQueries, ToText(sent),
+      request.method == "HEAD",
       {query.deadlines.answer_in,
        query.deadlines.deadline_in + kForwardingGrace},
       [this, key = session.get(), lag, is_remote, sent_at = loop_->now()](
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -35,13 +35,15 @@
 TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
+      remote_traffic_(metrics_.registry()),
       prober_(loop, settings_.backends.choice.own_data_centre,
               settings_.backends.mechanisms.reachability_probes),
-      backends_(loop, WithNames(settings_.backends, settings_.names), &prober_),
+      backends_(loop, WithNames(settings_.backends, settings_.names), &prober_,
+                remote_traffic_.CountersOf(RemotePurpose::kParts)),
       callers_(loop, CallersPolicy()),
       readiness_(loop, ReadinessPolicy()),
       peer_queries_(loop, QueriesPolicy()),
-      peers_(loop, &prober_),
+      peers_(loop, &prober_, &remote_traffic_),
       own_position_{settings_.instances, 0},
       early_requests_(loop, settings_.names.deadline,
                       [this](const auto& session, HttpRequest&& request) {
