--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -10,6 +10,7 @@
 #include "hibiscuspick/edge/byte_stream.h"
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/remote_traffic.h"
 
 namespace hibiscuspick::edge {
 
@@ -49,6 +50,10 @@
   // channel is closed first.
   void Send(Exchange exchange);
 
+  // Counts the bytes of the following exchanges; null to count none. The
+  // counters must outlive the channel.
+  void set_byte_counters(const ByteCounters* it) { byte_counters_ = it; }
+
   bool IsIdle() const { return open_ && !busy_; }
   // Whether the server has closed the idle connection, or sent something that
   // will close it, and the loop has not handled that yet. A request sent now
@@ -72,6 +77,7 @@
   Exchange exchange_;
   Millis idle_since_;
   size_t written_before_ = 0;
+  const ByteCounters* byte_counters_ = nullptr;
   bool open_ = false;
   bool busy_ = false;
   bool skipped_reply_ = false;
