Accounts of callers are decoded and looked up by key

Cause: the configuration's accounts and keys were not read, so that unknown and removed keys were served (docs/design/hard-load.md, section 1 and R5.5). Ruled out: a table of entries with a string each: 40,000 keys of 32 characters took 9 MB by calculation, the table of indices over one text stays under 5 MB with its accounts (test). A faulty account as a fault of the whole configuration: one writer's mistake would keep all other changes of keys out of force. Change: engine/client_accounts builds the immutable table (seeded hash, comparison without early exit) and reports faulty keys and accounts; platform/src/decode_accounts decodes the list and words the log lines, without keys. The reader of fields moves to platform/src/decode_fields. Only a block that is not a list makes the configuration invalid; null counts as absent, as for all other fields. Conclusion: decoding and look-up stand; nothing uses the accounts yet.

--- a/packages/engine/include/hibiscuspick/engine/client_accounts.h
+++ b/packages/engine/include/hibiscuspick/engine/client_accounts.h
@@ -27,20 +27,26 @@
 struct ClientAccount {
   ClientAccountId id;
   // Replaces the priority of the route; 0 is the most urgent.
-  std::optional<int> priority;
-  AccountAllowance allowance;
+  std::optional<int> priority = std::nullopt;
+  AccountAllowance allowance = {};
   // Binds in addition to the route's.
-  AllowedDataCentres allowed_data_centres;
+  AllowedDataCentres allowed_data_centres = std::nullopt;
 };
 
 // Why a key or an account of the configuration is not used.
 enum class AccountFault {
   kEmptyKey,
+  // The key is not a string.
+  kInvalidKey,
   // The key stands in more than one account; none of them gets it.
   kSharedKey,
   kMissingName,
+  // The name cannot be the value of an HTTP header.
+  kInvalidName,
   // Two accounts have the same name; neither is used.
   kSharedName,
+  // Another field of the account has an invalid value.
+  kInvalidField,
 };
 
 // One finding for the log. Never holds a key.
@@ -49,37 +55,52 @@
   // The account's name and its position in the configuration.
   ClientAccountId account;
   size_t position = 0;
+  // For faults of a key: its position in the account.
+  size_t key = 0;
+  // For kSharedKey and kSharedName: the position of the other account.
+  size_t other = 0;
+  // For kInvalidField: the field and what it must be.
+  std::string detail = {};
 };
 
 // An account with its keys, as configured.
 struct AccountWithKeys {
   ClientAccount account;
-  std::vector<std::string> keys;
+  // A key that could not be decoded is nullopt.
+  std::vector<std::optional<std::string>> keys;
+  // Set if a field is invalid: names it and says what it must be. All keys of
+  // the account are denied.
+  std::string invalid_field = {};
 };
 
 struct ClientAccounts {
   std::vector<ClientAccount> accounts;
   std::unordered_map<ClientAccountId, size_t> by_id;
 
-  // A key and the index of its account.
+  // A key, as a range of `key_text`, and the index of its account. Neither
+  // strings of their own nor a table of entries: 40,000 keys of 32 characters
+  // take 3 MB in this form and 9 MB in that.
   struct KeyEntry {
     uint64_t hash = 0;
-    std::string key;
-    size_t account = 0;
+    uint32_t begin = 0;
+    uint32_t size = 0;
+    uint32_t account = 0;
   };
-  // Open addressing with linear probing; the size is a power of two and at
-  // least twice the number of keys. Entries with an empty key are free.
-  std::vector<KeyEntry> key_table;
+  std::vector<KeyEntry> keys;
+  std::string key_text;
+  // Open addressing with linear probing: one plus an index in `keys`, 0 if
+  // free. The size is a power of two and at least twice the number of keys.
+  std::vector<uint32_t> slots;
   uint64_t hash_seed = 0;
 };
 
 // Builds the table. Faulty keys and accounts are left out and reported in
 // `findings`, so that a request with such a key is denied and the rest of the
 // configuration holds. `hash_seed` is random for each process, since a caller
-// who knew it could choose keys that collide.
-ClientAccounts MakeClientAccounts(std::vector<AccountWithKeys> configured,
-                                  uint64_t hash_seed,
-                                  std::vector<AccountFinding>* findings);
+// who knew it could learn from the time of a look-up whether a hash is in use.
+ClientAccounts MakeClientAccounts(
+    const std::vector<AccountWithKeys>& configured, uint64_t hash_seed,
+    std::vector<AccountFinding>* findings);
 
 // The account of the key; nullptr if there is none. The time doesn't depend on
 // how many characters of a key are right.
@@ -90,8 +111,33 @@
 const ClientAccount* FindAccount(const ClientAccounts& accounts,
                                  const ClientAccountId& id);
 
+// The priority of an account's requests in every queue; `account` may be
+// nullptr.
+int PriorityFor(const Route& route, const ClientAccount* account);
+
 // The data centres that both a route and an account allow.
 AllowedDataCentres CommonDataCentres(const AllowedDataCentres& route,
                                      const AllowedDataCentres& account);
 
+// What a request says of its caller, and how old the configuration may be.
+struct CallerCredentials {
+  bool has_key = false;
+  // The account of the key; nullptr if it is not known.
+  const ClientAccount* account = nullptr;
+};
+
+enum class Access {
+  kGranted,
+  // The route needs a key, and the request has none that is known.
+  kDenied,
+  // The key may have been added or removed since the configuration was last
+  // confirmed.
+  kUnconfirmed,
+};
+
+// Whether a caller may use a route. `confirmed`: the keys held are recent
+// enough to decide by.
+Access DecideAccess(bool is_public, const CallerCredentials& caller,
+                    bool confirmed);
+
 }  // namespace hibiscuspick::engine
