The entry instance resolves keys; servers get the account's name

Cause: servers ran requests with the key and without the account; requests without a known key were served. Ruled out: resolving the key at senders too: they would need the key, and their version could differ. Checking only the first Authorization header: a second one would pass the key on. Change: edge/caller_identity looks up the key in the request's configuration, removes the identity headers, and the instance answers 401 (its log lines have a budget of their own), or 503 while strict revocation holds and the state is not confirmed. Forwarded queries, relays and remainders carry Hp-Account; a peer without that account answers 409. A request that a peer did not start is served with the configuration that it began with, no longer with the one then in force. An account's priority replaces the route's, and its data centres restrict servers, relays and senders.

--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -26,6 +26,8 @@
   ForwardedDeadlines deadlines;
   // Indices, within the route, of the shards to query; empty for all.
   std::vector<size_t> shard_indices;
+  // The account of the query's caller; empty if there is none.
+  ClientAccountId account;
   // Set if this query asks for the parts that were still open in an earlier
   // answer: the token of that answer, and how many of the parts are needed.
   struct Remainder {
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -13,6 +13,7 @@
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/wire_names.h"
+#include "hibiscuspick/engine/client_accounts.h"
 #include "hibiscuspick/engine/fan_out.h"
 #include "hibiscuspick/engine/gather.h"
 #include "hibiscuspick/engine/lag_meter.h"
@@ -199,6 +200,12 @@
   const settings::Mechanisms& mechanisms() const {
     return context_->backends->policy().mechanisms;
   }
+  // The data centres that the route and the account allow.
+  const engine::AllowedDataCentres& allowed_data_centres() const {
+    return account_ != nullptr && account_->allowed_data_centres
+               ? common_data_centres_
+               : route_->allowed_data_centres;
+  }
   void SetDeadlines();
   void StartPart(size_t i);
   // Returns false if the query was answered immediately.
@@ -277,6 +284,10 @@
   engine::RouteLatency* const route_latency_;
   HttpRequest request_;
   std::string request_id_;
+  // The caller's account; nullptr if it has none. Part of `config_`.
+  const engine::ClientAccount* account_ = nullptr;
+  // Set if the account is restricted to some data centres.
+  engine::AllowedDataCentres common_data_centres_;
   // The service whose budget of extra attempts this query uses; shared by all
   // shards of a fan-out.
   ServiceId budget_service_;
--- a/packages/edge/include/hibiscuspick/edge/request_log.h
+++ b/packages/edge/include/hibiscuspick/edge/request_log.h
@@ -27,8 +27,9 @@
   // the last.
   static bool MayLog(LineBudget* budget, std::string_view kind, Millis now);
 
-  // One budget for each kind, so that refused or successful requests cannot
-  // suppress lines of failed ones.
+  // One budget for each kind, so that denied, refused or successful requests
+  // cannot suppress lines of failed ones.
+  LineBudget denied_;
   LineBudget refused_;
   LineBudget failed_;
   LineBudget successful_;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -47,6 +47,10 @@
   engine::ColdLimits cold_limits;
   // Assumed number of instances until it is known.
   size_t instances = 8;
+  // A request whose admission depends on its key is refused while the store has
+  // not confirmed the configuration for this long, since the key may have been
+  // removed. If not set, keys are looked up in the last known configuration.
+  std::optional<Millis> revoke_after;
   Millis answer_margin{9};
   Millis deadline_margin{12};
   // Phases of a graceful shutdown, from its start: until `stop_refuse_after`
@@ -90,6 +94,10 @@
   // reachability.
   void SetProbeTargets(const std::vector<engine::Peer>& peers);
 
+  // Records that the configuration in force was the store's at `at`. On the
+  // loop's thread; needed only with TrafficSettings::revoke_after.
+  void RecordConfirmation(Millis at) { confirmed_at_ = at; }
+
   // Callback invoked with true when this instance finds its data centre cut off
   // and unable to serve callers, and with false when another data centre is
   // reachable again.
@@ -136,19 +144,29 @@
   // route.
   void ServeLocally(const std::shared_ptr<HttpSession>& session,
                     HttpRequest request, const engine::Route* route);
-  void Serve(const std::shared_ptr<HttpSession>& session, HttpRequest request,
-             const engine::Route& route,
+  // `route` is part of `config`.
+  void Serve(const std::shared_ptr<HttpSession>& session,
+             const std::shared_ptr<const engine::TrafficConfig>& config,
+             HttpRequest request, const engine::Route& route,
              const std::optional<ForwardedQuery>& forwarded);
+  // Decides whether the caller may use the route and sets the request's
+  // account; refuses the request and returns false otherwise.
+  bool AdmitCaller(HttpSession* session, const engine::Route& route,
+                   HttpRequest* request);
+  // Whether the store has confirmed the keys recently enough; see
+  // TrafficSettings::revoke_after.
+  bool AreKeysConfirmed() const;
   bool ForwardToPeer(const std::shared_ptr<HttpSession>& session,
                      const HttpRequest& request, const engine::Route& route);
-  void OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
-                    HttpRequest request, ForwardResult result,
+  struct ForwardedRequest;
+  void OnPeerAnswer(ForwardedRequest forwarded, ForwardResult result,
                     const HttpReply& reply);
   void DivideLimits();
   std::vector<ServiceId> ServicesFor(const engine::Route& route);
   engine::RouteLatency* RouteLatencyOf(const engine::Route& route);
   // The data centres that have servers of nearly all shards of the route.
-  const std::vector<DataCentreId>& DataCentresOf(const engine::Route& route);
+  const std::vector<DataCentreId>& DataCentresOf(
+      const engine::Route& route, const engine::AllowedDataCentres& allowed);
   void Refuse(HttpSession* session, const HttpRequest& request, int status,
               std::string_view reason);
   void MeasureLoopLag();
@@ -173,6 +191,8 @@
   engine::LagMeter local_lag_{Millis(4)};
   engine::LagMeter remote_lag_{Millis(7)};
   std::shared_ptr<const engine::TrafficConfig> config_;
+  // When the store last confirmed the configuration in force.
+  std::optional<Millis> confirmed_at_;
   bool has_servers_ = false;
   bool stopping_ = false;
   bool unable_to_serve_ = false;
@@ -191,7 +211,9 @@
     uint64_t generation = 0;
     std::vector<DataCentreId> data_centres;
   };
-  std::map<RouteId, RouteDataCentres> route_data_centres_;
+  // The data centres allowed may depend on the account.
+  std::map<std::pair<RouteId, engine::AllowedDataCentres>, RouteDataCentres>
+      route_data_centres_;
   std::unordered_set<std::shared_ptr<QueryRun>> running_;
   // Queries that were answered to a peer with parts still open, by the token in
   // the answer.
@@ -201,6 +223,9 @@
   struct ForwardedRequest {
     std::shared_ptr<HttpSession> session;
     HttpRequest request;
+    // The configuration that the request uses, and the route in it.
+    std::shared_ptr<const engine::TrafficConfig> config;
+    const engine::Route* route = nullptr;
     std::function<void()> cancel;
   };
   std::unordered_map<HttpSession*, ForwardedRequest> forwarded_requests_;
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -19,6 +19,7 @@
 constexpr std::string_view kIsRetryHeader = "Hp-Returning";
 constexpr std::string_view kShardsHeader = "Hp-Shards";
 constexpr std::string_view kNeededHeader = "Hp-Wanted";
+constexpr std::string_view kAccountHeader = "Hp-Account";
 
 constexpr Millis kConnectTimeout{150};
 constexpr Millis kBackoffTime{1500};
@@ -88,6 +89,7 @@
   if (!query.shard_indices.empty()) {
     add(kShardsHeader, FormatIndices(query.shard_indices));
   }
+  if (!query.account.empty()) add(kAccountHeader, query.account.text);
   if (!query.remainder.token.empty()) {
     add(kRemainderHeader, query.remainder.token);
     add(kNeededHeader, std::to_string(query.remainder.needed));
@@ -143,6 +145,8 @@
   const auto shards = ParseIndices(FindHeader(*headers, kShardsHeader));
   if (!shards) return std::nullopt;
   query.shard_indices = *shards;
+  query.account =
+      ClientAccountId(std::string(FindHeader(*headers, kAccountHeader)));
   query.remainder.token = FindHeader(*headers, kRemainderHeader);
   const auto needed = IntegerHeader(*headers, kNeededHeader);
   query.remainder.needed =
@@ -154,6 +158,7 @@
            EqualsIgnoreCase(it.name, kIsRetryHeader) ||
            EqualsIgnoreCase(it.name, kLagsHeader) ||
            EqualsIgnoreCase(it.name, kShardsHeader) ||
+           EqualsIgnoreCase(it.name, kAccountHeader) ||
            EqualsIgnoreCase(it.name, kRemainderHeader) ||
            EqualsIgnoreCase(it.name, kNeededHeader);
   });
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -28,7 +28,7 @@
   std::vector<std::vector<DataCentreId>> data_centres(parts_.size());
   for (const size_t i : parts) {
     data_centres[i] = context_->backends->DataCentresOfService(
-        parts_[i].service, route_->allowed_data_centres);
+        parts_[i].service, allowed_data_centres());
   }
   const auto groups = engine::GroupRelays(
       data_centres, context_->backends->policy().choice.own_data_centre,
@@ -65,6 +65,7 @@
     const engine::Peer& peer, ForwardedQuery query, Millis due,
     const std::function<void(ForwardResult, const HttpReply&)>& on_end) {
   query.config_version = config_->version;
+  query.account = request_.account;
   HttpRequest sent = UpstreamRequest();
   AddForwardingHeaders(query, &sent.headers);
   cancel_relays_.push_back(
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -35,8 +35,7 @@
                                         : ExtraAttempt::kOptional;
   if (TryStartPart(i, kind)) return;
   auto& backends = *context_->backends;
-  if (!backends.HasAvailableServer(part.service,
-                                   route_->allowed_data_centres) ||
+  if (!backends.HasAvailableServer(part.service, allowed_data_centres()) ||
       kind == ExtraAttempt::kOptional ||
       (is_extra && !backends.HasExtraAttempt(budget_service_, 0))) {
     part.failed = true;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hibiscuspick/edge/caller_identity.h"
 #include "hibiscuspick/engine/fan_out.h"
 
 namespace hibiscuspick::edge {
@@ -36,11 +37,19 @@
       request_id_(FindHeader(request_.headers, context->names->request_id)),
       started_at_(context->loop->now()) {
   const auto& names = *context_->names;
+  if (config_->accounts) {
+    account_ = engine::FindAccount(*config_->accounts, request_.account);
+  }
+  if (account_ != nullptr) {
+    common_data_centres_ = engine::CommonDataCentres(
+        route_->allowed_data_centres, account_->allowed_data_centres);
+  }
   for (auto& it : EndToEndHeaders(request_.headers)) {
     // These headers are set by this instance and never taken from a caller.
     if (EqualsIgnoreCase(it.name, names.deadline)) continue;
     if (EqualsIgnoreCase(it.name, names.expect_instance)) continue;
     if (EqualsIgnoreCase(it.name, names.stamp)) continue;
+    if (config_->accounts && IsIdentityHeader(it.name, names)) continue;
     upstream_headers_.push_back(std::move(it));
   }
 }
@@ -109,7 +118,7 @@
   for (const auto& it : parts_) {
     estimates.push_back(context_->backends->EstimateShard(
         it.service, route_latency_->median, deadlines_.answer_at,
-        route_->allowed_data_centres));
+        allowed_data_centres()));
   }
   const size_t needed = Progress().needed;
   const Millis to_target = deadlines_.answer_at - started_at_;
@@ -145,7 +154,7 @@
 
 void QueryRun::EnqueuePart(size_t i, bool extra) {
   QueuedPart queued_part;
-  queued_part.priority = route_->priority;
+  queued_part.priority = engine::PriorityFor(*route_, account_);
   queued_part.due = deadlines_.answer_at;
   queued_part.deprioritized = deprioritized_;
   queued_part.on_key_changed = [self = shared_from_this(),
@@ -159,7 +168,7 @@
             i, extra ? ExtraAttempt::kUrgent : ExtraAttempt::kNone)) {
       const auto& backends = *self->context_->backends;
       if (backends.HasAvailableServer(it.service,
-                                      self->route_->allowed_data_centres)) {
+                                      self->allowed_data_centres())) {
         return false;
       }
       // The last available server was lost while the part waited.
@@ -209,7 +218,7 @@
   spec.overdue_after = route_latency_->hedge_after;
   spec.excluded = parts_[i].may_have_run_on;
   for (const auto& it : parts_[i].open) spec.excluded.push_back(it.server);
-  spec.allowed_data_centres = &route_->allowed_data_centres;
+  spec.allowed_data_centres = &allowed_data_centres();
   spec.is_head = request_.method == "HEAD";
   spec.not_idempotent = route_->idempotency == Idempotency::kNotIdempotent;
   const auto self = shared_from_this();
@@ -243,6 +252,9 @@
   sent.headers.push_back(
       {names.deadline, std::to_string(static_cast<int64_t>(left.count))});
   sent.headers.push_back({names.expect_instance, server.text});
+  if (account_ != nullptr) {
+    sent.headers.push_back({names.account, account_->id.text});
+  }
   return ToText(sent);
 }
 
--- a/packages/edge/src/request_log.cc
+++ b/packages/edge/src/request_log.cc
@@ -19,7 +19,12 @@
 
 void RequestLog::LogRefusal(std::string_view request_id, int status,
                             std::string_view reason, Millis now) {
-  if (!MayLog(&refused_, "refused", now)) return;
+  constexpr int kUnauthorized = 401;
+  const bool denied = status == kUnauthorized;
+  if (!MayLog(denied ? &denied_ : &refused_, denied ? "denied" : "refused",
+              now)) {
+    return;
+  }
   Log(Part::kFront)
       .info("request {} refused: {} {}", request_id, status, reason);
 }
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hibiscuspick/edge/caller_identity.h"
 #include "hibiscuspick/edge/traffic_server.h"
 
 namespace hibiscuspick::edge {
@@ -42,11 +43,12 @@
         std::all_of(
             forwarded->shard_indices.begin(), forwarded->shard_indices.end(),
             [&](size_t i) { return i < route->gather->shards.size(); })));
-  if (!matches) {
+  if (!matches || !MatchesAccounts(*config_, *route, forwarded->account)) {
     AnswerMismatch(session.get());
     return;
   }
-  Serve(session, std::move(request), *route, forwarded);
+  request.account = forwarded->account;
+  Serve(session, config_, std::move(request), *route, forwarded);
 }
 
 void TrafficServer::AnswerPeer(const std::shared_ptr<HttpSession>& session,
@@ -104,13 +106,13 @@
 }
 
 const std::vector<DataCentreId>& TrafficServer::DataCentresOf(
-    const engine::Route& route) {
-  const auto [it, is_new] = route_data_centres_.try_emplace(route.id);
+    const engine::Route& route, const engine::AllowedDataCentres& allowed) {
+  const auto [it, is_new] =
+      route_data_centres_.try_emplace(std::pair(route.id, allowed));
   auto& held = it->second;
   if (is_new || held.generation != backends_.generation()) {
     held = {backends_.generation(),
-            backends_.DataCentresOf(route.gather->shards,
-                                    route.allowed_data_centres)};
+            backends_.DataCentresOf(route.gather->shards, allowed)};
   }
   return held.data_centres;
 }
@@ -121,11 +123,12 @@
                                   const HttpRequest& request,
                                   const engine::Route& route) {
   if (!route.gather || peers_.senders().empty()) return false;
-  const auto peer =
-      peers_.ChoosePeer(DataCentresOf(route), route.allowed_data_centres);
+  const auto allowed = AllowedDataCentresFor(*config_, route, request.account);
+  const auto peer = peers_.ChoosePeer(DataCentresOf(route, allowed), allowed);
   if (!peer) return false;
   ForwardedQuery query;
   query.config_version = config_->version;
+  query.account = request.account;
   query.deadlines =
       QueryRun::DeadlinesFor(context_, route, RouteLatencyOf(route), request);
   const bool is_remote =
@@ -141,7 +144,7 @@
   sent.body = request.body;
   AddForwardingHeaders(query, &sent.headers);
   // Stored before the send, which may end immediately.
-  forwarded_requests_[session.get()] = {session, request, {}};
+  forwarded_requests_[session.get()] = {session, request, config_, &route, {}};
   session->set_on_disconnect([this, disconnected = session.get()] {
     auto node = forwarded_requests_.extract(disconnected);
     if (!node.empty() && node.mapped().cancel) node.mapped().cancel();
@@ -158,8 +161,7 @@
         }
         auto entry = forwarded_requests_.extract(key);
         if (entry.empty()) return;
-        OnPeerAnswer(entry.mapped().session, std::move(entry.mapped().request),
-                     result, reply);
+        OnPeerAnswer(std::move(entry.mapped()), result, reply);
       });
   const auto held = forwarded_requests_.find(session.get());
   if (held != forwarded_requests_.end()) {
@@ -169,9 +171,9 @@
   return true;
 }
 
-void TrafficServer::OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
-                                 HttpRequest request, ForwardResult result,
-                                 const HttpReply& reply) {
+void TrafficServer::OnPeerAnswer(ForwardedRequest forwarded,
+                                 ForwardResult result, const HttpReply& reply) {
+  const auto& session = forwarded.session;
   if (result == ForwardResult::kAnswered) {
     HttpReply answer = reply;
     answer.headers = EndToEndHeaders(reply.headers);
@@ -183,11 +185,11 @@
     return;
   }
   if (result == ForwardResult::kBroken) {
-    Refuse(session.get(), request, 502, "peer_lost");
+    Refuse(session.get(), forwarded.request, 502, "peer_lost");
     return;
   }
-  const auto* route = RouteOf(request);
-  ServeLocally(session, std::move(request), route);
+  Serve(session, forwarded.config, std::move(forwarded.request),
+        *forwarded.route, std::nullopt);
 }
 
 // Answers all running queries and those forwarded to peers. A stalled peer
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "hibiscuspick/base/log.h"
+#include "hibiscuspick/edge/caller_identity.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -26,6 +27,8 @@
 // balancer can send the retry to another instance.
 constexpr std::string_view kShortRetryAfter = "0.05";
 
+constexpr int kUnauthorizedStatus = 401;
+
 // How long a peer's report of a cut is used; the peer repeats it in each state
 // update, at the latest after kPeerPollWait.
 constexpr Millis kUnableReportTtl{2500};
@@ -306,6 +309,9 @@
   if (status == 503) {
     reply.headers.push_back({"Retry-After", std::string(kShortRetryAfter)});
   }
+  if (status == kUnauthorizedStatus) {
+    reply.headers.push_back({"WWW-Authenticate", "Bearer"});
+  }
   reply.body = R"({"error":")" + std::string(reason) + R"("})";
   session->Reply(reply);
 }
@@ -323,7 +329,10 @@
     return;
   }
   const auto* route = RouteOf(request);
-  if (route != nullptr && ForwardToPeer(session, request, *route)) return;
+  if (route != nullptr) {
+    if (!AdmitCaller(session.get(), *route, &request)) return;
+    if (ForwardToPeer(session, request, *route)) return;
+  }
   ServeLocally(session, std::move(request), route);
 }
 
@@ -339,15 +348,40 @@
     Refuse(session.get(), request, 404, "unknown_route");
     return;
   }
-  Serve(session, std::move(request), *route, std::nullopt);
+  Serve(session, config_, std::move(request), *route, std::nullopt);
 }
 
-void TrafficServer::Serve(const std::shared_ptr<HttpSession>& session,
-                          HttpRequest request, const engine::Route& route,
-                          const std::optional<ForwardedQuery>& forwarded) {
+bool TrafficServer::AreKeysConfirmed() const {
+  if (!settings_.revoke_after) return true;
+  return confirmed_at_ &&
+         loop_->now() - *confirmed_at_ <= *settings_.revoke_after;
+}
+
+bool TrafficServer::AdmitCaller(HttpSession* session,
+                                const engine::Route& route,
+                                HttpRequest* request) {
+  switch (IdentifyCaller(*config_, route, settings_.names, AreKeysConfirmed(),
+                         request)) {
+    case engine::Access::kGranted:
+      return true;
+    case engine::Access::kDenied:
+      Refuse(session, *request, kUnauthorizedStatus, "unknown_key");
+      return false;
+    case engine::Access::kUnconfirmed:
+      Refuse(session, *request, 503, "keys_unconfirmed");
+      return false;
+  }
+  return false;
+}
+
+void TrafficServer::Serve(
+    const std::shared_ptr<HttpSession>& session,
+    const std::shared_ptr<const engine::TrafficConfig>& config,
+    HttpRequest request, const engine::Route& route,
+    const std::optional<ForwardedQuery>& forwarded) {
   const std::string id(FindHeader(request.headers, settings_.names.request_id));
   auto query = std::make_shared<QueryRun>(
-      &context_, config_, &route, RouteLatencyOf(route), std::move(request));
+      &context_, config, &route, RouteLatencyOf(route), std::move(request));
   std::vector<ServiceId> services;
   if (forwarded) query->set_forwarded(forwarded->deadlines);
   if (forwarded && !forwarded->shard_indices.empty()) {
@@ -363,7 +397,7 @@
   const std::weak_ptr<QueryRun> weak = query;
   query->Start(
       services,
-      [this, session, weak, id, route_id = route.id, version = config_->version,
+      [this, session, weak, id, route_id = route.id, version = config->version,
        is_forwarded = forwarded.has_value()](const QueryOutcome& outcome) {
         metrics_.Count(outcome);
         request_log_.LogOutcome(id, route_id, version, outcome, loop_->now());
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -52,8 +53,10 @@
 
 class TrafficFixture {
  public:
-  explicit TrafficFixture(const std::string& data_centre = "dc") {
+  explicit TrafficFixture(const std::string& data_centre = "dc",
+                          std::optional<Millis> revoke_after = std::nullopt) {
     TrafficSettings settings;
+    settings.revoke_after = revoke_after;
     settings.callers = {"127.0.0.1", FreePort()};
     settings.readiness = {"127.0.0.1", FreePort()};
     settings.readiness_path = "/ready";
