--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -46,7 +46,7 @@
 // kept the parts behind it in the queue from starting.
 bool QueryRun::MayWait(const Part& part, bool is_extra) const {
   auto& backends = *context_->backends;
-  return backends.HasAvailableServer(part.service, route_->allowed_data_centres,
+  return backends.HasAvailableServer(part.service, allowed_data_centres(),
                                      part.may_have_run_on) &&
          (!is_extra || backends.HasExtraAttempt(budget_service_, 0));
 }
