--- a/packages/settings/include/hibiscuspick/settings/edge_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -44,6 +44,12 @@
   // The region of each data centre, for routes restricted to some regions.
   std::map<DataCentreId, std::string> regions;
 
+  // Whether requests with a key are refused while the store has not confirmed
+  // the configuration for `max_key_age`, since the key may have been removed.
+  // Otherwise the last known configuration decides.
+  bool strict_revocation = false;
+  Millis max_key_age{5000};
+
   // The time from the stop signal until the process is killed.
   Millis shutdown_grace{6000};
 
--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -51,6 +51,16 @@
   reader.RejectUnknownKeys();
 }
 
+void ReadClientKeys(JsonReader* edge, EdgeSettings* out,
+                    std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "client_keys"), "$.edge.client_keys", faults);
+  out->strict_revocation =
+      reader.Flag("strict_revocation", out->strict_revocation);
+  out->max_key_age =
+      ReadMillis(&reader, "max_age_ms", {100, kHour}, out->max_key_age);
+  reader.RejectUnknownKeys();
+}
+
 void ReadRegions(JsonReader* edge, EdgeSettings* out) {
   const Json* field = edge->Find("regions");
   if (field == nullptr) return;
@@ -89,6 +99,7 @@
       ReadFraction(&reader, "processor", kMaxCores, out->cpu_cores);
   ReadExtra(&reader, out, faults);
   ReadCold(&reader, out, faults);
+  ReadClientKeys(&reader, out, faults);
   ReadRegions(&reader, out);
   ReadPolicy(&reader, out, faults);
   out->instances =
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -18,6 +18,7 @@
     "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
     "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
     "cold_servers": {"overage": 1.5, "slack": 5},
+    "client_keys": {"strict_revocation": true, "max_age_ms": 7000},
     "regions": {"a": "north", "b": "south"}, "grace_ms": 6000}})");
 }
 
@@ -31,6 +32,9 @@
   BOOST_TEST(ToText(settings.updates) == "10.0.0.1:4");
   BOOST_TEST(settings.cold_overage == 1.5);
   BOOST_TEST(settings.cold_slack == 5);
+  BOOST_TEST(settings.strict_revocation);
+  BOOST_TEST(settings.max_key_age.count == 7000);
+  BOOST_TEST(!EdgeSettings().strict_revocation);
   BOOST_TEST(settings.regions.at(DataCentreId("b")) == "south");
   BOOST_TEST(IsEdgeSettings(ValidSettings().dump()));
   BOOST_TEST(!IsEdgeSettings("{}"));
@@ -74,6 +78,10 @@
     {"/edge/extra_attempts/slck", 1, "$.edge.extra_attempts.slck"},
     {"/edge/cold_servers/overage", -1, "$.edge.cold_servers.overage"},
     {"/edge/cold_servers/slak", 1, "$.edge.cold_servers.slak"},
+    {"/edge/client_keys/strict_revocation", 1,
+     "$.edge.client_keys.strict_revocation"},
+    {"/edge/client_keys/max_age_ms", 0, "$.edge.client_keys.max_age_ms"},
+    {"/edge/client_keys/max_age", 1, "$.edge.client_keys.max_age"},
     {"/edge/regions", "north", "$.edge.regions"},
     {"/edge/regions/a", 3, "$.edge.regions.a"},
     {"/edge/policy/hedgin", false, "$.edge.policy.hedgin"},
