Settings edge.allowances and the switch allowances

Cause: the bound on client accounts' requests (docs/design/hard-load.md, section 2) needs a window, an overage and a slack. Ruled out: a default other than 0 for the window, since allowances must not run without the settings.

--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -25,6 +25,7 @@
 #include "hibiscuspick/edge/query_run.h"
 #include "hibiscuspick/edge/request_log.h"
 #include "hibiscuspick/edge/wire_names.h"
+#include "hibiscuspick/engine/allowance_messages.h"
 #include "hibiscuspick/engine/route_latency.h"
 #include "hibiscuspick/engine/sender_shares.h"
 #include "hibiscuspick/engine/traffic_config.h"
@@ -45,6 +46,8 @@
   double extra_slack = 0;
   // Limits on requests to a cold server beyond its service's own.
   engine::ColdLimits cold_limits;
+  // Bound on the requests of client accounts; not enforced without a window.
+  engine::AllowanceBounds allowances;
   // Assumed number of instances until it is known.
   size_t instances = 8;
   Millis answer_margin{9};
--- a/packages/settings/include/hibiscuspick/settings/edge_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -41,6 +41,13 @@
   double cold_overage = 1;
   double cold_slack = 0;
 
+  // Bound on the requests of a client account that run within any window: its
+  // rate times the window plus its burst, times 1 + overage, plus slack. A
+  // window of 0: allowances are not enforced.
+  Millis allowance_window{0};
+  double allowance_overage = 0;
+  double allowance_slack = 0;
+
   // The region of each data centre, for routes restricted to some regions.
   std::map<DataCentreId, std::string> regions;
 
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -50,6 +50,9 @@
   bool early_request_queue = true;
   // Sends answers earlier by the measured answer lag.
   bool answer_lag_compensation = true;
+  // Holds client accounts to their allowances over all instances. Off for
+  // comparisons only: without it their bound isn't kept.
+  bool allowances = true;
 };
 
 // A switch and its name in settings files.
@@ -79,6 +82,7 @@
     MechanismName{"room_from_abandoned", &Mechanisms::preempt_abandoned},
     MechanismName{"early_requests", &Mechanisms::early_request_queue},
     MechanismName{"answer_lag", &Mechanisms::answer_lag_compensation},
+    MechanismName{"allowances", &Mechanisms::allowances},
 };
 
 }  // namespace hibiscuspick::settings
--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -51,6 +51,21 @@
   reader.RejectUnknownKeys();
 }
 
+void ReadAllowances(JsonReader* edge, EdgeSettings* out,
+                    std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "allowances"), "$.edge.allowances", faults);
+  constexpr double kMaxWindow = kHour;
+  constexpr double kMaxOverage = 100;
+  constexpr double kMaxSlack = 1e6;
+  out->allowance_window = Millis(ReadFraction(
+      &reader, "window_ms", kMaxWindow, out->allowance_window.count));
+  out->allowance_overage =
+      ReadFraction(&reader, "overage", kMaxOverage, out->allowance_overage);
+  out->allowance_slack =
+      ReadFraction(&reader, "slack", kMaxSlack, out->allowance_slack);
+  reader.RejectUnknownKeys();
+}
+
 void ReadRegions(JsonReader* edge, EdgeSettings* out) {
   const Json* field = edge->Find("regions");
   if (field == nullptr) return;
@@ -89,6 +104,7 @@
       ReadFraction(&reader, "processor", kMaxCores, out->cpu_cores);
   ReadExtra(&reader, out, faults);
   ReadCold(&reader, out, faults);
+  ReadAllowances(&reader, out, faults);
   ReadRegions(&reader, out);
   ReadPolicy(&reader, out, faults);
   out->instances =
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -18,6 +18,7 @@
     "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
     "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
     "cold_servers": {"overage": 1.5, "slack": 5},
+    "allowances": {"window_ms": 2.5e3, "overage": 0.1, "slack": 20},
     "regions": {"a": "north", "b": "south"}, "grace_ms": 6000}})");
 }
 
@@ -31,6 +32,9 @@
   BOOST_TEST(ToText(settings.updates) == "10.0.0.1:4");
   BOOST_TEST(settings.cold_overage == 1.5);
   BOOST_TEST(settings.cold_slack == 5);
+  BOOST_TEST(settings.allowance_window.count == 2500);
+  BOOST_TEST(settings.allowance_overage == 0.1);
+  BOOST_TEST(settings.allowance_slack == 20);
   BOOST_TEST(settings.regions.at(DataCentreId("b")) == "south");
   BOOST_TEST(IsEdgeSettings(ValidSettings().dump()));
   BOOST_TEST(!IsEdgeSettings("{}"));
