Interfaces: allowance pools, leases and the choice of the counting instance

Cause: the network part of the allowances is written at the same time and needs the declarations. Ruled out: a loan that ends a fixed time after its message arrives; an instance that hung would renew loans from messages that lay in its sockets, while the lenders had moved on. Loans echo a reading of the receiver's clock instead, and name the lists of candidates that they follow, so that no share is lent twice while the choice changes. Headers alone, no behaviour changes.

--- /dev/null
+++ b/packages/engine/include/hibiscuspick/engine/allowance_pool.h
@@ -0,0 +1,168 @@
+// The counting side of allowances: one token pool for each account that this
+// instance counts. A pool refills in proportion to the shares lent to it, so
+// that pools that can't reach each other never grant more than the bound
+// together. See docs/design/hard-load.md, part 2.
+//
+// How to use it (the edge):
+//   - SetPoolContext whenever the configuration, the settings or the instance
+//     list changes, and at least once a second;
+//   - HandleAllowanceRequest for each message of either kind; its reply is sent
+//     at once;
+//   - TakeExchangeMessages after each message and at its `next_at`; then
+//     HandleExchangeReply or HandleExchangeFailure for each of its messages.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/engine/allowance_messages.h"
+#include "hibiscuspick/engine/client_accounts.h"
+#include "hibiscuspick/engine/counting_instance.h"
+
+namespace hibiscuspick::engine {
+
+// A loan ends this long after the clock reading that it echoes.
+inline constexpr Millis kLoanTime{1250};
+
+// Reserved places that can wait at one pool. Each is one refused request.
+inline constexpr size_t kMaxPlaces = 4096;
+
+// The parts of the bound on an account's requests that the pools divide.
+struct AllowanceLimits {
+  double rate_per_second = 0;
+  double burst = 0;
+  // The tolerance E = overage x (rate x window + burst) + slack.
+  double tolerance = 0;
+  // m: the factor on rate and burst that half of the tolerance pays for.
+  double share_factor = 1;
+};
+AllowanceLimits MakeAllowanceLimits(const AccountAllowance& allowance,
+                                    const AllowanceBounds& bounds);
+
+// What is lent to a pool, and the tokens that it may therefore hold.
+struct PoolShare {
+  // The sum of the lent shares, from 0 to 1.
+  double lent = 0;
+  double refill_per_second = 0;
+  double capacity = 0;
+};
+PoolShare MakePoolShare(const AllowanceLimits& limits, double lent);
+
+struct AllowancePool {
+  PoolShare share;
+  double tokens = 0;
+  // The largest share for which start tokens were given.
+  double started_share = 0;
+  Millis refilled_at{0};
+  // Requests per second that instances of this data centre wanted tokens for,
+  // as a decaying average, and the last of them.
+  double demand_per_second = 0;
+  Millis demand_at{-1e9};
+  // Tokens per second that came from other data centres, likewise.
+  double received_per_second = 0;
+  Millis received_at{-1e9};
+  // When the places of refused requests are due, in order.
+  std::deque<Millis> places;
+  // The exchange with the other data centres.
+  bool is_short = false;
+  int exchanges_in_flight = 0;
+  Millis exchange_at{-1e9};
+  // The other data centres had too few tokens: no request waits for them, and
+  // they are asked less often, until then.
+  Millis dry_until{-1e9};
+};
+
+// The current loan of one instance, and what it covers.
+struct HeldLoan {
+  Millis ends_at;
+  uint32_t instances = 0;
+  uint64_t sequence = 0;
+  std::vector<std::vector<InstanceId>> candidate_lists;
+};
+
+struct AllowancePoolContext {
+  InstanceId own;
+  DataCentreId data_centre;
+  // Random for each process; not 0.
+  uint64_t process = 0;
+  uint64_t config_version = 0;
+  AllowanceBounds bounds;
+  // The number of instances in the own list, this one included.
+  size_t instances = 1;
+  // Those of the other data centres are asked for tokens.
+  CandidatesByDataCentre candidates;
+  // The accounts of the configuration version; kept alive by the pools.
+  std::shared_ptr<const ClientAccounts> accounts;
+  // Feature switch: pools of different data centres exchange tokens.
+  bool exchange = true;
+};
+
+struct AllowancePools {
+  AllowancePoolContext context;
+  std::map<InstanceId, HeldLoan> loans;
+  std::unordered_map<ClientAccountId, AllowancePool> pools;
+  // The accounts that wait for an exchange.
+  std::vector<ClientAccountId> short_accounts;
+  struct ExchangeState {
+    bool in_flight = false;
+    uint64_t sequence = 0;
+    Millis sent_at{-1e9};
+    // Usual time from a message to its reply.
+    Millis round_trip{0};
+    std::vector<TokenRequest> asked;
+  };
+  std::map<DataCentreId, ExchangeState> exchanges;
+  uint64_t next_sequence = 1;
+  Millis cleaned_at{0};
+};
+
+// Sets the configuration, the settings and the instances. Tokens above a lower
+// capacity are dropped at once; a higher rate applies from now on.
+void SetPoolContext(AllowancePools* pools, AllowancePoolContext context,
+                    Millis now);
+
+// Answers a message of either kind. Renews the sender's loan, takes back unused
+// tokens and deducts the granted ones, so that a lost reply loses tokens and
+// never duplicates them.
+AllowanceReply HandleAllowanceRequest(AllowancePools* pools,
+                                      const AllowanceRequest& request,
+                                      Millis now);
+
+// Messages to counting instances of other data centres, at most one in flight
+// to each data centre, and when to call this again at the latest (kNever if
+// only after the next request).
+struct ExchangeMessages {
+  std::vector<AllowanceMessage> messages;
+  Millis next_at{kNever};
+};
+ExchangeMessages TakeExchangeMessages(AllowancePools* pools, Millis now);
+
+// The reply to a message of TakeExchangeMessages. `sent`: that message. Replies
+// that come after kExchangeTimeout are used too.
+void HandleExchangeReply(AllowancePools* pools, const AllowanceMessage& sent,
+                         const AllowanceReply& reply, Millis now);
+// The message failed. Time-outs are noticed by TakeExchangeMessages itself.
+void HandleExchangeFailure(AllowancePools* pools, const AllowanceMessage& sent,
+                           Millis now);
+
+// What operators see of one account at this instance.
+struct PoolStatus {
+  ClientAccountId account;
+  double tokens = 0;
+  double lent = 0;
+  double refill_per_second = 0;
+  double capacity = 0;
+  double demand_per_second = 0;
+  size_t places = 0;
+};
+std::vector<PoolStatus> PoolStatuses(const AllowancePools& pools);
+
+}  // namespace hibiscuspick::engine
