Allowances: client, counting side, messages and admission of requests

Cause: nothing held an account to its allowance over several instances (docs/design/hard-load.md, section 2). Ruled out: one connection for each peer, since the leases use a reply after their time-out while the next message is under way; counting where a query enters, which would count it again where it is run.

--- a/packages/edge/include/hibiscuspick/edge/allowance_client.h
+++ b/packages/edge/include/hibiscuspick/edge/allowance_client.h
@@ -2,28 +2,79 @@
 // from the counting instances. Used by the traffic thread only.
 #pragma once
 
+#include <cstdint>
 #include <functional>
-#include <variant>
+#include <optional>
+#include <string>
+#include <unordered_map>
 
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
+#include "hibiscuspick/edge/allowance_server.h"
+#include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/peer_messages.h"
+#include "hibiscuspick/engine/allowance_lease.h"
+#include "hibiscuspick/engine/client_accounts.h"
+#include "hibiscuspick/engine/remote_refusals.h"
 
 namespace hibiscuspick::edge {
 
-// The request may run; it has taken one token.
-struct TokenTaken {};
-// The account's allowance is used up: 429 with this Retry-After.
-struct AllowanceUsedUp {
-  Millis retry_after;
-};
-// No counting instance can be reached and this instance's own share is used up:
-// 503 with this Retry-After, since another instance may be in touch.
-struct AllowanceUnknown {
-  Millis retry_after;
-};
-using TokenOutcome =
-    std::variant<TokenTaken, AllowanceUsedUp, AllowanceUnknown>;
+class AllowanceClient {
+ public:
+  using OnToken = std::function<void(const engine::TokenOutcome&)>;
+
+  // `messages` and `own_server`, which answers messages to this instance
+  // itself, must outlive this object.
+  AllowanceClient(Loop* loop, PeerMessages* messages,
+                  AllowanceServer* own_server)
+      : loop_(loop), messages_(messages), own_server_(own_server) {}
+
+  void SetContext(const engine::LeaseContext& context,
+                  const engine::EntryInstances& instances);
+
+  // Takes a token for a request of the account. `on_token` is called once, with
+  // any outcome but kWaiting; the returned function cancels that if the caller
+  // disconnects first, and is empty if it was called at once.
+  std::function<void()> Take(const engine::ClientAccount& account,
+                             bool is_retry, OnToken on_token);
+  // Gives back the token of a request that was refused or has not run.
+  void Return(const ClientAccountId& account);
 
-using OnToken = std::function<void(const TokenOutcome&)>;
+  // The refusal of a new request, if this instance remembers that the account
+  // has no tokens.
+  std::optional<engine::EarlyRefusal> RefuseEarly(
+      const engine::ClientAccount& account);
+  // What an instance tells another whose forwarded query it refused for the
+  // account's allowance; to be passed to RecordRefusal there.
+  engine::TokenGrant RefusalOf(const ClientAccountId& account) const;
+  void RecordRefusal(const engine::TokenGrant& refusal);
+
+  // Tokens in the account's leases.
+  double TokensHeld(const ClientAccountId& account) const;
+
+ private:
+  struct Waiting {
+    ClientAccountId account;
+    OnToken on_token;
+  };
+  // Sends the messages and reports the outcomes that are due.
+  void Advance();
+  bool AdvanceOnce();
+  void Send(const engine::AllowanceMessage& message);
+  void OnReply(const engine::AllowanceMessage& sent,
+               const std::optional<engine::AllowanceReply>& reply);
+
+  Loop* const loop_;
+  PeerMessages* const messages_;
+  AllowanceServer* const own_server_;
+  engine::AllowanceLeases leases_;
+  engine::RemoteRefusals remote_refusals_;
+  engine::EntryInstances entry_instances_;
+  std::unordered_map<uint64_t, Waiting> waiting_;
+  Loop::TimerId timer_ = 0;
+  bool advancing_ = false;
+  // Set by a call during Advance.
+  bool advance_again_ = false;
+};
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/allowance_wire.h
+++ b/packages/edge/include/hibiscuspick/edge/allowance_wire.h
@@ -14,9 +14,10 @@
 // arrives there, and a forwarded query carries forwarding headers.
 inline constexpr std::string_view kAllowancePath = "/allowance";
 
-// The most accounts in one message; a message of this many accounts with long
-// names is still shorter than the longest body that a peer accepts.
-inline constexpr size_t kMaxAccountsPerMessage = 1000;
+// The most accounts in one message, and the longest body that is accepted: with
+// names of 20 letters an account takes some 60 bytes.
+inline constexpr size_t kMaxAccountsPerMessage = 10000;
+inline constexpr size_t kMaxAllowanceBytes = 1 << 20;
 
 std::string EncodeAllowanceRequest(const engine::AllowanceRequest& request);
 std::string EncodeAllowanceReply(const engine::AllowanceReply& reply);
--- a/packages/edge/include/hibiscuspick/edge/peer_messages.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_messages.h
@@ -1,5 +1,4 @@
-// Sends short messages to other instances, one in flight to each. Used by one
-// thread only.
+// Sends short messages to other instances. Used by one thread only.
 #pragma once
 
 #include <functional>
@@ -8,6 +7,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
+#include <vector>
 
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
@@ -27,23 +28,28 @@
   PeerMessages(const PeerMessages&) = delete;
   PeerMessages& operator=(const PeerMessages&) = delete;
 
-  // Whether a message to the peer is in flight.
-  bool IsBusy(const InstanceId& peer) const;
-  // Sends a POST request over a connection that is kept; requires that none is
-  // in flight to the peer. `on_reply` is called once, in a later iteration of
-  // the loop. A reply after the time-out is dropped with its connection.
-  void Send(const engine::Peer& peer, std::string_view path, std::string body,
+  // The instances that messages can be sent to.
+  void SetPeers(const std::vector<engine::Peer>& peers);
+
+  // Sends a POST request over a connection that is kept for further ones.
+  // `on_reply` is called once, in a later iteration of the loop. Fails if the
+  // peer isn't known or does not answer several earlier messages.
+  void Send(const InstanceId& to, std::string_view path, std::string body,
             Millis timeout, OnReply on_reply);
 
  private:
-  struct Connection;
-  void SendOnChannel(const std::shared_ptr<Connection>& connection,
-                     std::string text);
-  void Finish(const std::shared_ptr<Connection>& connection,
+  struct Message;
+  std::shared_ptr<HttpChannel> TakeIdleChannel(const InstanceId& peer);
+  size_t InFlightTo(const InstanceId& peer) const;
+  void SendOnChannel(const std::shared_ptr<Message>& message);
+  void Finish(const std::shared_ptr<Message>& message,
               const std::optional<std::string>& body);
 
   Loop* const loop_;
-  std::map<InstanceId, std::shared_ptr<Connection>> connections_;
+  std::map<InstanceId, Address> addresses_;
+  std::map<InstanceId, std::vector<std::shared_ptr<HttpChannel>>>
+      idle_channels_;
+  std::unordered_set<std::shared_ptr<Message>> in_flight_;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -154,6 +154,9 @@
   // Stops the open parts: the peer did not ask for them.
   void DropRemainder();
 
+  // Whether no server and no peer may have run any part so far.
+  bool HasCertainlyNotRun() const;
+
   // Stops all parts because the caller has disconnected.
   void Cancel();
   // Answers immediately with the parts received, since the instance is shutting
--- a/packages/edge/include/hibiscuspick/edge/request_log.h
+++ b/packages/edge/include/hibiscuspick/edge/request_log.h
@@ -8,6 +8,7 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/log_sink.h"
 #include "hibiscuspick/edge/query_run.h"
+#include "hibiscuspick/engine/remote_refusals.h"
 
 namespace hibiscuspick::edge {
 
@@ -16,6 +17,13 @@
   // Logs a request that was refused before it became a query.
   void LogRefusal(std::string_view request_id, int status,
                   std::string_view reason, Millis now);
+  // Logs a request that was refused for its account's allowance, with the
+  // tokens left here and the age of the lease or refusal that decided it.
+  void LogAllowanceRefusal(std::string_view request_id,
+                           const ClientAccountId& account, int status,
+                           std::string_view reason,
+                           const engine::EarlyRefusal& refusal,
+                           double tokens_held, Millis now);
   // Logs the outcome of a query. `config_version` is the configuration that
   // served it.
   void LogOutcome(std::string_view request_id, const RouteId& route,
@@ -30,6 +38,7 @@
   // One budget for each kind, so that refused or successful requests cannot
   // suppress lines of failed ones.
   LineBudget refused_;
+  LineBudget above_allowance_;
   LineBudget failed_;
   LineBudget successful_;
 };
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -16,6 +16,8 @@
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/base/result.h"
+#include "hibiscuspick/edge/account_allowances.h"
+#include "hibiscuspick/edge/account_metrics.h"
 #include "hibiscuspick/edge/backends.h"
 #include "hibiscuspick/edge/early_requests.h"
 #include "hibiscuspick/edge/http_session.h"
@@ -89,6 +91,8 @@
                 const std::vector<engine::Peer>& senders,
                 const std::vector<engine::Peer>& relays,
                 const InstancePosition& own_position);
+  // Sets the instances that count the requests of client accounts.
+  void SetCountingInstances(CountingInstances instances);
   // Some instances of each other data centre, which are probed for its
   // reachability.
   void SetProbeTargets(const std::vector<engine::Peer>& peers);
@@ -110,6 +114,16 @@
   void Stop(const std::function<void()>& done);
 
  private:
+  // How a request was admitted that Serve has decided on.
+  struct Admission {
+    // The account that the request is counted for; empty if there is none or
+    // the request is a part of a query.
+    ClientAccountId account;
+    // Whether it has taken one of the account's tokens.
+    bool has_token = false;
+    // The time left of its deadlines, if it was computed.
+    std::optional<ForwardedDeadlines> deadlines;
+  };
   SessionPolicy CallersPolicy();
   SessionPolicy ReadinessPolicy();
   bool IsReady();
@@ -125,7 +139,8 @@
                         HttpRequest request);
   // Cancels the query if the other side of the session disconnects.
   void CancelOnDisconnect(const std::shared_ptr<HttpSession>& session,
-                          const std::shared_ptr<QueryRun>& query);
+                          const std::shared_ptr<QueryRun>& query,
+                          const Admission& admission);
   void OnRemainderRequested(const std::shared_ptr<HttpSession>& session,
                             const ForwardedQuery& forwarded);
   // Answers a peer, with a token for the parts that are still open.
@@ -139,9 +154,40 @@
   // route.
   void ServeLocally(const std::shared_ptr<HttpSession>& session,
                     HttpRequest request, const engine::Route* route);
-  void Serve(const std::shared_ptr<HttpSession>& session, HttpRequest request,
-             const engine::Route& route,
+  // `route` is part of `config`.
+  void Serve(const std::shared_ptr<HttpSession>& session,
+             const std::shared_ptr<const engine::TrafficConfig>& config,
+             HttpRequest request, const engine::Route& route,
              const std::optional<ForwardedQuery>& forwarded);
+  void Run(const std::shared_ptr<HttpSession>& session,
+           const std::shared_ptr<const engine::TrafficConfig>& config,
+           HttpRequest request, const engine::Route& route,
+           const std::optional<ForwardedQuery>& forwarded,
+           const Admission& admission);
+  // The account of the request in that configuration; nullptr if it has none.
+  static const engine::ClientAccount* AccountOf(
+      const engine::TrafficConfig& config, const HttpRequest& request);
+  struct TokenWait;
+  void OnToken(const std::shared_ptr<TokenWait>& wait,
+               const engine::TokenOutcome& outcome);
+  // Refuses a new request whose account is known to have no tokens; false if it
+  // is to be forwarded or served.
+  bool RefuseEarly(const std::shared_ptr<HttpSession>& session,
+                   const HttpRequest& request, const engine::Route& route);
+  // Answers 429 if the allowance is used up, and 503 otherwise.
+  void RefuseForAllowance(const std::shared_ptr<HttpSession>& session,
+                          const HttpRequest& request, bool used_up,
+                          const engine::EarlyRefusal& refusal,
+                          bool is_forwarded);
+  // Takes what a sender's answer says about the account's allowance.
+  void TakePeerRefusal(const ClientAccountId& account, HttpReply* reply);
+  void CountEnd(const Admission& admission, const QueryRun* query,
+                const QueryOutcome& outcome);
+  // Gives back the token of a request that has certainly not run.
+  void ReturnToken(const Admission& admission, const QueryRun& query);
+  void OnAllowanceMessage(const std::shared_ptr<HttpSession>& session,
+                          const HttpRequest& request);
+  void RefuseTokenWaits();
   bool ForwardToPeer(const std::shared_ptr<HttpSession>& session,
                      const HttpRequest& request, const engine::Route& route);
   void OnPeerAnswer(const std::shared_ptr<HttpSession>& session,
@@ -168,6 +214,8 @@
   HttpListener readiness_;
   HttpListener peer_queries_;
   PeerSender peers_;
+  AccountAllowances allowances_;
+  AccountMetrics account_metrics_;
   QueryMetrics metrics_;
   InstancePosition own_position_;
   // Latency of forwarding a query to a peer in this data centre and in another,
@@ -196,6 +244,7 @@
   };
   std::map<RouteId, RouteDataCentres> route_data_centres_;
   std::unordered_set<std::shared_ptr<QueryRun>> running_;
+  std::unordered_set<std::shared_ptr<TokenWait>> token_waits_;
   // Queries that were answered to a peer with parts still open, by the token in
   // the answer.
   std::unordered_map<std::string, std::shared_ptr<QueryRun>> remainders_;
--- a/packages/edge/src/account_metrics.cc
+++ b/packages/edge/src/account_metrics.cc
@@ -46,18 +46,17 @@
 
 void AccountMetrics::Rank(Millis now) {
   ranked_at_ = now;
-  std::erase_if(accounts_, [](auto& it) {
-    it.second.load *= kLoadDecay;
-    return it.second.load < kMinLoad;
-  });
+  for (auto& [id, it] : accounts_) it.load *= kLoadDecay;
+  std::erase_if(accounts_,
+                [](const auto& it) { return it.second.load < kMinLoad; });
   std::vector<Account*> by_load;
   by_load.reserve(accounts_.size());
   for (auto& [id, it] : accounts_) by_load.push_back(&it);
   named_count_ = std::min(kMaxNamed, by_load.size());
-  std::partial_sort(
-      by_load.begin(),
-      by_load.begin() + static_cast<std::ptrdiff_t>(named_count_),
-      by_load.end(), [](auto* a, auto* b) { return a->load > b->load; });
+  std::partial_sort(by_load.begin(),
+                    by_load.begin() + static_cast<std::ptrdiff_t>(named_count_),
+                    by_load.end(),
+                    [](auto* a, auto* b) { return a->load > b->load; });
   for (size_t i = 0; i < by_load.size(); ++i) {
     by_load[i]->is_named = i < named_count_;
   }
@@ -78,8 +77,8 @@
           .Add(it.counts[event]);
     }
     registry.AddGauge("hibiscuspick_edge_account_tokens",
-                      "Tokens held for client accounts",
-                      {{"account", id.text}}, [tokens] { return tokens; });
+                      "Tokens held for client accounts", {{"account", id.text}},
+                      [tokens] { return tokens; });
   }
   // The empty name can't be that of an account.
   const std::string others;
--- /dev/null
+++ b/packages/edge/src/allowance_client.cc
@@ -0,0 +1,162 @@
+#include "hibiscuspick/edge/allowance_client.h"
+
+#include <utility>
+
+#include "hibiscuspick/edge/allowance_wire.h"
+
+namespace hibiscuspick::edge {
+namespace {
+
+// Later replies are not awaited: granted tokens expire after this time. The
+// leases notice a peer that is silent much earlier.
+constexpr Millis kMessageTimeout{1000};
+
+// Rounds of messages to the own pools within one call; further ones are left to
+// the next iteration of the loop.
+constexpr int kMaxRounds = 4;
+
+}  // namespace
+
+void AllowanceClient::SetContext(const engine::LeaseContext& context,
+                                 const engine::EntryInstances& instances) {
+  entry_instances_ = instances;
+  // A higher limit applies at once.
+  if (context.config_version != leases_.context.config_version) {
+    remote_refusals_ = {};
+  }
+  engine::SetLeaseContext(&leases_, context, SteadyNow());
+  Advance();
+}
+
+std::function<void()> AllowanceClient::Take(
+    const engine::ClientAccount& account, bool is_retry, OnToken on_token) {
+  const auto outcome = engine::RequestToken(
+      &leases_, account.id, account.allowance, is_retry, SteadyNow());
+  if (outcome.kind != engine::TokenOutcomeKind::kWaiting) {
+    Advance();
+    on_token(outcome);
+    return {};
+  }
+  const uint64_t ticket = outcome.ticket;
+  waiting_[ticket] = {account.id, std::move(on_token)};
+  Advance();
+  if (!waiting_.contains(ticket)) return {};
+  return [this, ticket] {
+    const auto node = waiting_.extract(ticket);
+    if (node.empty()) return;
+    engine::CancelToken(&leases_, node.mapped().account, ticket);
+    Advance();
+  };
+}
+
+void AllowanceClient::Return(const ClientAccountId& account) {
+  engine::ReturnToken(&leases_, account, SteadyNow());
+  Advance();
+}
+
+std::optional<engine::EarlyRefusal> AllowanceClient::RefuseEarly(
+    const engine::ClientAccount& account) {
+  const Millis now = SteadyNow();
+  const auto remote = engine::RefuseEarly(&remote_refusals_, account.id, now);
+  if (remote) return remote;
+  const auto found = leases_.accounts.find(account.id);
+  if (found == leases_.accounts.end() || found->second.refuse_until <= now) {
+    return std::nullopt;
+  }
+  const auto outcome =
+      engine::RequestToken(&leases_, account.id, account.allowance, false, now);
+  using Kind = engine::TokenOutcomeKind;
+  if (outcome.kind == Kind::kAboveAllowance) {
+    return engine::EarlyRefusal{outcome.retry_after, outcome.age};
+  }
+  // The instance that runs the request takes the token.
+  if (outcome.kind == Kind::kGranted) Return(account.id);
+  if (outcome.kind == Kind::kWaiting) {
+    engine::CancelToken(&leases_, account.id, outcome.ticket);
+  }
+  return std::nullopt;
+}
+
+engine::TokenGrant AllowanceClient::RefusalOf(
+    const ClientAccountId& account) const {
+  engine::TokenGrant refusal;
+  refusal.account = account;
+  const auto found = leases_.accounts.find(account);
+  if (found == leases_.accounts.end()) return refusal;
+  const Millis now = SteadyNow();
+  const auto& it = found->second;
+  refusal.refuse_for = Max(it.refuse_until - now, Millis(0));
+  refusal.retry_after = Max(it.next_place - now, Millis(0));
+  refusal.retry_spacing = it.place_spacing;
+  return refusal;
+}
+
+void AllowanceClient::RecordRefusal(const engine::TokenGrant& refusal) {
+  engine::RecordRemoteRefusal(&remote_refusals_, refusal, entry_instances_,
+                              SteadyNow());
+}
+
+double AllowanceClient::TokensHeld(const ClientAccountId& account) const {
+  double tokens = 0;
+  const auto found = leases_.accounts.find(account);
+  if (found == leases_.accounts.end()) return tokens;
+  for (const auto& it : found->second.leases) tokens += it.tokens;
+  return tokens;
+}
+
+void AllowanceClient::Advance() {
+  if (advancing_) {
+    advance_again_ = true;
+    return;
+  }
+  advancing_ = true;
+  loop_->Cancel(std::exchange(timer_, 0));
+  int rounds = 0;
+  while (AdvanceOnce()) {
+    if (++rounds < kMaxRounds) continue;
+    timer_ = loop_->RunAt(loop_->now(), [this] { Advance(); });
+    break;
+  }
+  advancing_ = false;
+}
+
+// Returns whether there may be more to do at once.
+bool AllowanceClient::AdvanceOnce() {
+  advance_again_ = false;
+  const auto actions = engine::AdvanceLeases(&leases_, SteadyNow());
+  for (const auto& it : actions.messages) Send(it);
+  for (const auto& it : actions.outcomes) {
+    const auto node = waiting_.extract(it.ticket);
+    if (!node.empty()) node.mapped().on_token(it);
+  }
+  if (advance_again_) return true;
+  if (actions.next_at < kNever) {
+    timer_ = loop_->RunAt(actions.next_at, [this] { Advance(); });
+  }
+  return false;
+}
+
+void AllowanceClient::Send(const engine::AllowanceMessage& message) {
+  if (message.to == leases_.context.own) {
+    OnReply(message, own_server_->Handle(message.request));
+    return;
+  }
+  messages_->Send(
+      message.to, kAllowancePath, EncodeAllowanceRequest(message.request),
+      kMessageTimeout, [this, sent = message](const auto& body) {
+        OnReply(sent, body ? DecodeAllowanceReply(*body) : std::nullopt);
+      });
+}
+
+void AllowanceClient::OnReply(
+    const engine::AllowanceMessage& sent,
+    const std::optional<engine::AllowanceReply>& reply) {
+  if (reply) {
+    engine::HandleLeaseReply(&leases_, sent, *reply, SteadyNow());
+  } else {
+    engine::HandleLeaseFailure(&leases_, sent, SteadyNow());
+  }
+  Advance();
+}
+
+}  // namespace hibiscuspick::edge
--- a/packages/edge/src/peer_messages.cc
+++ b/packages/edge/src/peer_messages.cc
@@ -1,99 +1,138 @@
 #include "hibiscuspick/edge/peer_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hibiscuspick::edge {
 namespace {
 
-// As large as the longest body that a peer accepts.
-constexpr size_t kMaxReplyBytes = 262144;
+constexpr size_t kMaxReplyBytes = 1 << 20;
+
+// A peer that hangs gets no more connections than this at once.
+constexpr size_t kMaxInFlightPerPeer = 4;
 
 constexpr int kOkStatus = 200;
 
 }  // namespace
 
-struct PeerMessages::Connection {
-  Address address;
+struct PeerMessages::Message {
+  InstanceId to;
+  std::string text;
   std::shared_ptr<HttpChannel> channel;
   Loop::TimerId timer = 0;
-  // Set while a message is in flight.
+  // Null once the message has ended.
   OnReply on_reply;
 };
 
 // Closes all channels: a channel and its stream hold references to each other
 // until one is closed.
 PeerMessages::~PeerMessages() {
-  for (const auto& [id, it] : connections_) {
+  for (const auto& it : in_flight_) {
     loop_->Cancel(it->timer);
     it->on_reply = nullptr;
     if (it->channel) it->channel->Close();
   }
+  for (const auto& [id, channels] : idle_channels_) {
+    for (const auto& it : channels) it->Close();
+  }
+}
+
+void PeerMessages::SetPeers(const std::vector<engine::Peer>& peers) {
+  std::map<InstanceId, Address> addresses;
+  for (const auto& it : peers) addresses[it.id] = it.query_address;
+  std::erase_if(idle_channels_, [&](const auto& it) {
+    const auto now = addresses.find(it.first);
+    const auto before = addresses_.find(it.first);
+    if (now != addresses.end() && before != addresses_.end() &&
+        now->second == before->second) {
+      return false;
+    }
+    for (const auto& channel : it.second) channel->Close();
+    return true;
+  });
+  addresses_ = std::move(addresses);
+}
+
+std::shared_ptr<HttpChannel> PeerMessages::TakeIdleChannel(
+    const InstanceId& peer) {
+  auto& idle = idle_channels_[peer];
+  while (!idle.empty()) {
+    auto channel = std::move(idle.back());
+    idle.pop_back();
+    if (channel->IsIdle()) return channel;
+  }
+  return nullptr;
 }
 
-bool PeerMessages::IsBusy(const InstanceId& peer) const {
-  const auto found = connections_.find(peer);
-  return found != connections_.end() && found->second->on_reply != nullptr;
+size_t PeerMessages::InFlightTo(const InstanceId& peer) const {
+  return static_cast<size_t>(
+      std::count_if(in_flight_.begin(), in_flight_.end(),
+                    [&](const auto& it) { return it->to == peer; }));
 }
 
-void PeerMessages::Send(const engine::Peer& peer, std::string_view path,
+void PeerMessages::Send(const InstanceId& to, std::string_view path,
                         std::string body, Millis timeout, OnReply on_reply) {
+  const auto address = addresses_.find(to);
+  if (address == addresses_.end() || InFlightTo(to) >= kMaxInFlightPerPeer) {
+    loop_->Post([on_reply = std::move(on_reply)] { on_reply(std::nullopt); });
+    return;
+  }
   HttpRequest request;
   request.method = "POST";
   request.target = path;
-  request.headers = {{"Host", ToText(peer.query_address)},
+  request.headers = {{"Host", ToText(address->second)},
                      {"Content-Type", "application/json"}};
   request.body = std::move(body);
-  auto& held = connections_[peer.id];
-  if (!held) held = std::make_shared<Connection>();
-  const auto connection = held;
-  connection->on_reply = std::move(on_reply);
-  connection->timer = loop_->RunAt(loop_->now() + timeout, [this, connection] {
-    connection->timer = 0;
-    Finish(connection, std::nullopt);
+  const auto message = std::make_shared<Message>();
+  message->to = to;
+  message->text = ToText(request);
+  message->on_reply = std::move(on_reply);
+  message->timer = loop_->RunAt(loop_->now() + timeout, [this, message] {
+    message->timer = 0;
+    Finish(message, std::nullopt);
   });
-  const bool reusable = connection->channel && connection->channel->IsIdle() &&
-                        connection->address == peer.query_address;
-  if (reusable) {
-    SendOnChannel(connection, ToText(request));
+  in_flight_.insert(message);
+  message->channel = TakeIdleChannel(to);
+  if (message->channel) {
+    SendOnChannel(message);
     return;
   }
-  if (connection->channel) connection->channel->Close();
-  connection->address = peer.query_address;
-  connection->channel = std::make_shared<HttpChannel>(loop_);
-  connection->channel->Connect(
-      peer.query_address, timeout,
-      [this, connection, channel = connection->channel,
-       text = ToText(request)](bool ok) {
-        if (connection->channel != channel || !connection->on_reply) {
+  message->channel = std::make_shared<HttpChannel>(loop_);
+  message->channel->Connect(
+      address->second, timeout,
+      [this, message, channel = message->channel](bool ok) {
+        if (!message->on_reply) {
           channel->Close();
         } else if (ok) {
-          SendOnChannel(connection, text);
+          SendOnChannel(message);
         } else {
-          Finish(connection, std::nullopt);
+          Finish(message, std::nullopt);
         }
       });
 }
 
-void PeerMessages::SendOnChannel(const std::shared_ptr<Connection>& connection,
-                                 std::string text) {
+void PeerMessages::SendOnChannel(const std::shared_ptr<Message>& message) {
   HttpChannel::Exchange exchange;
-  exchange.text = std::move(text);
+  exchange.text = std::move(message->text);
   exchange.max_reply_bytes = kMaxReplyBytes;
-  exchange.on_reply = [this, connection](ExchangeEnd end,
-                                         const HttpReply& reply) {
+  exchange.on_reply = [this, message](ExchangeEnd end, const HttpReply& reply) {
     const bool ok = end == ExchangeEnd::kReply && reply.status == kOkStatus;
-    Finish(connection, ok ? std::optional(reply.body) : std::nullopt);
+    Finish(message, ok ? std::optional(reply.body) : std::nullopt);
   };
-  connection->channel->Send(std::move(exchange));
+  message->channel->Send(std::move(exchange));
 }
 
-void PeerMessages::Finish(const std::shared_ptr<Connection>& connection,
+void PeerMessages::Finish(const std::shared_ptr<Message>& message,
                           const std::optional<std::string>& body) {
-  loop_->Cancel(std::exchange(connection->timer, 0));
-  if (!body && connection->channel) {
-    std::exchange(connection->channel, nullptr)->Close();
+  loop_->Cancel(std::exchange(message->timer, 0));
+  in_flight_.erase(message);
+  const auto channel = std::exchange(message->channel, nullptr);
+  if (channel->IsIdle() && addresses_.contains(message->to)) {
+    idle_channels_[message->to].push_back(channel);
+  } else {
+    channel->Close();
   }
-  const auto on_reply = std::exchange(connection->on_reply, nullptr);
+  const auto on_reply = std::exchange(message->on_reply, nullptr);
   if (on_reply) on_reply(body);
 }
 
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -52,6 +52,11 @@
                      [](auto& it) { return !it.may_have_run_on.empty(); });
 }
 
+bool QueryRun::HasCertainlyNotRun() const {
+  return !MayHaveRun() && std::none_of(parts_.begin(), parts_.end(),
+                                       [](auto& it) { return it.relayed; });
+}
+
 void QueryRun::Answer() {
   if (route_->gather) {
     Finish(MergedReply(), QueryFault::kNone);
--- a/packages/edge/src/request_log.cc
+++ b/packages/edge/src/request_log.cc
@@ -24,6 +24,20 @@
       .info("request {} refused: {} {}", request_id, status, reason);
 }
 
+void RequestLog::LogAllowanceRefusal(std::string_view request_id,
+                                     const ClientAccountId& account, int status,
+                                     std::string_view reason,
+                                     const engine::EarlyRefusal& refusal,
+                                     double tokens_held, Millis now) {
+  if (!MayLog(&above_allowance_, "above-allowance", now)) return;
+  Log(Part::kFront)
+      .info(
+          "request {} of account {} refused: {} {}, retry after {:.0f} ms, "
+          "{:.1f} tokens held, decided on state of {:.0f} ms ago",
+          request_id, account.text, status, reason, refusal.retry_after.count,
+          tokens_held, refusal.age.count);
+}
+
 void RequestLog::LogOutcome(std::string_view request_id, const RouteId& route,
                             uint64_t config_version,
                             const QueryOutcome& outcome, Millis now) {
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hibiscuspick/edge/allowance_wire.h"
 #include "hibiscuspick/edge/traffic_server.h"
 
 namespace hibiscuspick::edge {
@@ -26,6 +27,12 @@
 void TrafficServer::OnForwardedQuery(
     const std::shared_ptr<HttpSession>& session, HttpRequest request) {
   const auto forwarded = ExtractForwardingHeaders(&request.headers);
+  // A caller's request for this path has forwarding headers.
+  if (!forwarded && request.method == "POST" &&
+      request.target == kAllowancePath) {
+    OnAllowanceMessage(session, request);
+    return;
+  }
   if (forwarded && !forwarded->remainder.token.empty()) {
     OnRemainderRequested(session, *forwarded);
     return;
@@ -46,7 +53,7 @@
     AnswerMismatch(session.get());
     return;
   }
-  Serve(session, std::move(request), *route, forwarded);
+  Serve(session, config_, std::move(request), *route, forwarded);
 }
 
 void TrafficServer::AnswerPeer(const std::shared_ptr<HttpSession>& session,
@@ -91,7 +98,7 @@
     return;
   }
   const auto query = found.mapped();
-  CancelOnDisconnect(session, query);
+  CancelOnDisconnect(session, query, {});
   const std::weak_ptr<QueryRun> weak = query;
   query->Resume(
       forwarded.deadlines, forwarded.shard_indices, forwarded.remainder.needed,
@@ -175,6 +182,7 @@
   if (result == ForwardResult::kAnswered) {
     HttpReply answer = reply;
     answer.headers = EndToEndHeaders(reply.headers);
+    TakePeerRefusal(request.account, &answer);
     std::erase_if(answer.headers, [](const Header& it) {
       return EqualsIgnoreCase(it.name, kProcessingTimeHeader) ||
              EqualsIgnoreCase(it.name, kUtilisationHeader);
@@ -196,6 +204,7 @@
 void TrafficServer::AnswerRemaining() {
   const auto running = running_;
   for (const auto& it : running) it->AnswerNow();
+  RefuseTokenWaits();
   for (auto& [session, it] : std::exchange(forwarded_requests_, {})) {
     if (it.cancel) it.cancel();
     Refuse(it.session.get(), it.request, 502, "peer_lost");
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "hibiscuspick/base/log.h"
+#include "hibiscuspick/edge/allowance_wire.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -42,6 +43,9 @@
       readiness_(loop, ReadinessPolicy()),
       peer_queries_(loop, QueriesPolicy()),
       peers_(loop, &prober_),
+      allowances_(loop, {settings_.backends.choice.own_data_centre,
+                         settings_.allowances,
+                         settings_.backends.mechanisms.allowances}),
       own_position_{settings_.instances, 0},
       early_requests_(loop, settings_.names.deadline,
                       [this](const auto& session, HttpRequest&& request) {
@@ -80,7 +84,10 @@
     if (request.target == kMetricsPath) {
       reply.status = 200;
       reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-      reply.body = metrics_.Text();
+      reply.body =
+          metrics_.Text() + account_metrics_.Text([this](const auto& account) {
+            return allowances_.client().TokensHeld(account);
+          });
     } else {
       const bool is_readiness =
           request.target.starts_with(settings_.readiness_path);
@@ -100,6 +107,7 @@
     constexpr size_t kPeerHeaderBytes = 4096;
     limits.header_bytes += kPeerHeaderBytes;
     limits.idle_timeout = Millis(60000);
+    limits.body_bytes = std::max(limits.body_bytes, kMaxAllowanceBytes);
     return limits;
   };
   policy.on_request = [this](const auto& session, HttpRequest&& request) {
@@ -201,6 +209,7 @@
   }
   config_ = std::move(config);
   route_data_centres_.clear();
+  allowances_.SetConfig(config_);
   DivideLimits();
   if (has_servers_) early_requests_.Release();
   Log(Part::kConfig)
@@ -323,6 +332,7 @@
     return;
   }
   const auto* route = RouteOf(request);
+  if (route != nullptr && RefuseEarly(session, request, *route)) return;
   if (route != nullptr && ForwardToPeer(session, request, *route)) return;
   ServeLocally(session, std::move(request), route);
 }
@@ -339,17 +349,24 @@
     Refuse(session.get(), request, 404, "unknown_route");
     return;
   }
-  Serve(session, std::move(request), *route, std::nullopt);
+  Serve(session, config_, std::move(request), *route, std::nullopt);
 }
 
-void TrafficServer::Serve(const std::shared_ptr<HttpSession>& session,
-                          HttpRequest request, const engine::Route& route,
-                          const std::optional<ForwardedQuery>& forwarded) {
+void TrafficServer::Run(
+    const std::shared_ptr<HttpSession>& session,
+    const std::shared_ptr<const engine::TrafficConfig>& config,
+    HttpRequest request, const engine::Route& route,
+    const std::optional<ForwardedQuery>& forwarded,
+    const Admission& admission) {
   const std::string id(FindHeader(request.headers, settings_.names.request_id));
   auto query = std::make_shared<QueryRun>(
-      &context_, config_, &route, RouteLatencyOf(route), std::move(request));
+      &context_, config, &route, RouteLatencyOf(route), std::move(request));
   std::vector<ServiceId> services;
-  if (forwarded) query->set_forwarded(forwarded->deadlines);
+  if (admission.deadlines) {
+    query->set_forwarded(*admission.deadlines);
+  } else if (forwarded) {
+    query->set_forwarded(forwarded->deadlines);
+  }
   if (forwarded && !forwarded->shard_indices.empty()) {
     for (const size_t i : forwarded->shard_indices) {
       services.push_back(route.gather->shards[i]);
@@ -359,28 +376,30 @@
     services = ServicesFor(route);
   }
   running_.insert(query);
-  CancelOnDisconnect(session, query);
+  CancelOnDisconnect(session, query, admission);
   const std::weak_ptr<QueryRun> weak = query;
-  query->Start(
-      services,
-      [this, session, weak, id, route_id = route.id, version = config_->version,
-       is_forwarded = forwarded.has_value()](const QueryOutcome& outcome) {
-        metrics_.Count(outcome);
-        request_log_.LogOutcome(id, route_id, version, outcome, loop_->now());
-        const auto ended = weak.lock();
-        if (is_forwarded) {
-          AnswerPeer(session, outcome, ended, id);
-        } else {
-          session->Reply(outcome.reply);
-        }
-        if (ended && outcome.open_shards.empty()) running_.erase(ended);
-      });
+  query->Start(services, [this, session, weak, id, route_id = route.id,
+                          version = config->version,
+                          is_forwarded = forwarded.has_value(),
+                          admission](const QueryOutcome& outcome) {
+    metrics_.Count(outcome);
+    request_log_.LogOutcome(id, route_id, version, outcome, loop_->now());
+    const auto ended = weak.lock();
+    CountEnd(admission, ended.get(), outcome);
+    if (is_forwarded) {
+      AnswerPeer(session, outcome, ended, id);
+    } else {
+      session->Reply(outcome.reply);
+    }
+    if (ended && outcome.open_shards.empty()) running_.erase(ended);
+  });
 }
 
 void TrafficServer::CancelOnDisconnect(
     const std::shared_ptr<HttpSession>& session,
-    const std::shared_ptr<QueryRun>& query) {
-  session->set_on_disconnect([this, query] {
+    const std::shared_ptr<QueryRun>& query, const Admission& admission) {
+  session->set_on_disconnect([this, query, admission] {
+    ReturnToken(admission, *query);
     query->Cancel();
     running_.erase(query);
   });
@@ -400,7 +419,8 @@
   const Millis elapsed = loop_->now() - stop_started_at_;
   if (elapsed >= settings_.stop_answer_after) AnswerRemaining();
   const bool is_idle = elapsed >= settings_.stop_refuse_after &&
-                       running_.empty() && callers_.busy_sessions() == 0;
+                       running_.empty() && token_waits_.empty() &&
+                       callers_.busy_sessions() == 0;
   if (is_idle && callers_.IsAccepting()) {
     // Accepting until the very end would break connections unanswered. What
     // they send is read until the next check.
--- a/packages/edge/tests/allowance_wire_test.cc
+++ b/packages/edge/tests/allowance_wire_test.cc
@@ -10,38 +10,59 @@
 
 engine::AllowanceRequest SampleRequest() {
   engine::AllowanceRequest request;
+  request.kind = engine::AllowanceMessageKind::kExchange;
   request.from = InstanceId("edge-1");
   request.data_centre = DataCentreId("a");
+  request.sequence = 3;
   request.config_version = 7;
-  request.accounts = {{ClientAccountId("one \"quoted\""), 2, 1, 0.5},
-                      {ClientAccountId("two"), 0, 0, 3}};
+  request.loan.echo = {~uint64_t{0}, Millis(1234.0625)};
+  request.loan.instances = 64;
+  request.loan.candidate_lists = {{InstanceId("edge-1"), InstanceId("edge-2")},
+                                  {}};
+  request.accounts = {{ClientAccountId("one \"quoted\""), 2, 1, 4, 0.5},
+                      {ClientAccountId("two"), 0, 0, 0, 3}};
   return request;
 }
 
 engine::AllowanceReply SampleReply() {
-  return {{{ClientAccountId("one"), 2, Millis(12.5), Millis(0.25)}}};
+  return {{5, Millis(0.1)},
+          {{ClientAccountId("one"), 2, Millis(1), Millis(12.5), Millis(0.25),
+            Millis(50)}}};
 }
 
-BOOST_AUTO_TEST_CASE(MessagesAreUnchangedByTheCodec) {
+BOOST_AUTO_TEST_CASE(RequestIsUnchangedByTheCodec) {
   const auto request =
       DecodeAllowanceRequest(EncodeAllowanceRequest(SampleRequest()));
   BOOST_TEST_REQUIRE(request.has_value());
+  BOOST_TEST((request->kind == engine::AllowanceMessageKind::kExchange));
   BOOST_TEST(request->from.text == "edge-1");
   BOOST_TEST(request->data_centre.text == "a");
+  BOOST_TEST(request->sequence == 3);
   BOOST_TEST(request->config_version == 7);
+  BOOST_TEST((request->loan.echo == SampleRequest().loan.echo));
+  BOOST_TEST(request->loan.instances == 64);
+  BOOST_TEST(
+      (request->loan.candidate_lists == SampleRequest().loan.candidate_lists));
   BOOST_TEST_REQUIRE(request->accounts.size() == 2);
   BOOST_TEST(request->accounts[0].account.text == "one \"quoted\"");
   BOOST_TEST(request->accounts[0].wanted == 2);
   BOOST_TEST(request->accounts[0].for_retries == 1);
+  BOOST_TEST(request->accounts[0].ahead == 4);
   BOOST_TEST(request->accounts[0].returned == 0.5);
   BOOST_TEST(request->accounts[1].returned == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ReplyIsUnchangedByTheCodec) {
   const auto reply = DecodeAllowanceReply(EncodeAllowanceReply(SampleReply()));
   BOOST_TEST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->clock == SampleReply().clock));
   BOOST_TEST_REQUIRE(reply->accounts.size() == 1);
   BOOST_TEST(reply->accounts[0].account.text == "one");
   BOOST_TEST(reply->accounts[0].tokens == 2);
+  BOOST_TEST(reply->accounts[0].ask_again.count == 1);
   BOOST_TEST(reply->accounts[0].retry_after.count == 12.5);
   BOOST_TEST(reply->accounts[0].retry_spacing.count == 0.25);
+  BOOST_TEST(reply->accounts[0].refuse_for.count == 50);
 }
 
 // A negative number of returned tokens would take tokens from the pool, and a
@@ -72,8 +93,8 @@
     if (random.Below(4) == 0) text.resize(random.Below(text.size()));
     const auto request = DecodeAllowanceRequest(text);
     const auto reply = DecodeAllowanceReply(text);
-    for (const auto& it : request ? request->accounts
-                                  : std::vector<engine::TokenRequest>()) {
+    for (const auto& it :
+         request ? request->accounts : std::vector<engine::TokenRequest>()) {
       BOOST_TEST_REQUIRE((it.wanted >= 0 && it.returned >= 0));
     }
     for (const auto& it :
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -52,13 +52,17 @@
 
 class TrafficFixture {
  public:
-  explicit TrafficFixture(const std::string& data_centre = "dc") {
+  // `instance`: its name, that of the data centre if empty.
+  explicit TrafficFixture(const std::string& data_centre = "dc",
+                          const std::string& instance = "",
+                          const engine::AllowanceBounds& allowances = {}) {
     TrafficSettings settings;
     settings.callers = {"127.0.0.1", FreePort()};
     settings.readiness = {"127.0.0.1", FreePort()};
     settings.readiness_path = "/ready";
     settings.peer_queries = {"127.0.0.1", FreePort()};
-    peer_.id = InstanceId(data_centre);
+    settings.allowances = allowances;
+    peer_.id = InstanceId(instance.empty() ? data_centre : instance);
     peer_.data_centre = DataCentreId(data_centre);
     peer_.query_address = settings.peer_queries;
     settings.names = TestWireNames();
