Interfaces of allowances: the sender's process, arrivals, local refusals

Cause: a restarted lender counts its messages anew, and a counting instance must not take these for old ones; it also can't see the demand that instances refuse by themselves. Change: fields in the messages; the state of pools and leases. No function changed. Headers alone, no behaviour changes.

--- a/packages/engine/include/hibiscuspick/engine/allowance_lease.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_lease.h
@@ -28,6 +28,19 @@
 
 namespace hibiscuspick::engine {
 
+// A counting instance that hasn't answered for so long is asked no longer for
+// the requests that wait; the next in hash order is, once, then the own share.
+inline constexpr Millis kAskTimeout{50};
+
+// A counting instance that hasn't answered for so long isn't chosen.
+inline constexpr Millis kSilenceTime{400};
+
+// Loans are renewed at this interval.
+inline constexpr Millis kLoanInterval{500};
+
+// Unused tokens are given back after this time.
+inline constexpr Millis kLeaseTime{1000};
+
 enum class TokenOutcomeKind {
   // The request may run.
   kGranted,
@@ -61,13 +74,21 @@
   uint64_t ticket = 0;
   bool is_retry = false;
   Millis since;
+  // The message that asks for its token; 0 if none.
+  uint64_t asked_in = 0;
 };
 
 struct AccountLeases {
   std::deque<TokenLease> leases;
-  // Unused tokens to give back to the counting instance with the next message.
+  // Unused tokens to give back to the counting instance with the next message,
+  // and requests that it hasn't been told of.
   double returned = 0;
+  double arrivals = 0;
   std::deque<WaitingToken> waiting;
+  // Waiting requests are not asked for again before.
+  Millis ask_at{-1e9};
+  // Counting instances that have not answered for those that wait.
+  int unanswered = 0;
   // Requests per second of this account here, as a decaying average.
   double demand_per_second = 0;
   Millis demand_at{-1e9};
@@ -76,37 +97,34 @@
   Millis refused_at{-1e9};
   Millis refuse_until{-1e9};
   Millis next_place{0};
-  Millis place_spacing{0};
-  // Tokens asked for and not answered yet; the instance that was asked.
-  double asked = 0;
-  InstanceId asked_of;
-  // Waiting requests are asked for again at this time.
-  Millis ask_at{-1e9};
-  // Counting instances that did not answer in time, since the last that did.
-  int unanswered = 0;
+  Millis refused_spacing{0};
+  // Whether the account is in AllowanceLeases::active.
+  bool is_active = false;
 };
 
 // One counting instance as this instance sees it.
 struct CountingPeer {
   bool in_flight = false;
-  AllowanceRequest sent;
+  uint64_t sequence = 0;
   Millis sent_at{-1e9};
-  // A message after the time-out of which no reply has come is not in flight
-  // any more; while there is none for kSilenceTime, the peer isn't chosen.
+  Millis next_message_at{-1e9};
+  // When the first message was sent that has had no reply; -1 if there is none.
+  // After kSilenceTime the peer isn't chosen any more.
   Millis silent_since{-1};
-  Millis next_message_at{0};
   // The clock reading of its last reply and when that reply came.
   ClockReading clock;
+  Millis clock_at{-1e9};
   // When the loan to it ends at the latest.
   Millis loan_ends_at{-1e9};
   // The newest version of the candidate lists that it has confirmed.
   uint64_t confirmed_lists = 0;
-  uint64_t sent_lists = 0;
 };
 
 struct LeaseContext {
   InstanceId own;
   DataCentreId data_centre;
+  // Random for each process; not 0.
+  uint64_t process = 0;
   uint64_t config_version = 0;
   // The number of instances in the list, this one included; 0 while the list is
   // incomplete: then nothing is lent, since the own share isn't known.
@@ -127,8 +145,10 @@
   std::vector<std::vector<InstanceId>> candidate_lists;
   // Rises with each change of `candidate_lists`.
   uint64_t lists_version = 0;
-  // The accounts with waiting requests, expiring leases or returned tokens.
+  // The accounts with waiting requests, leases or tokens to give back.
   std::vector<ClientAccountId> active;
+  // Outcomes for the next AdvanceLeases.
+  std::vector<TokenOutcome> outcomes;
   uint64_t next_ticket = 1;
   uint64_t next_sequence = 1;
 };
--- a/packages/engine/include/hibiscuspick/engine/allowance_messages.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_messages.h
@@ -58,6 +58,9 @@
   double ahead = 0;
   // Unused tokens that are given back.
   double returned = 0;
+  // Requests of the account that have arrived since the last message, those
+  // that the sender refused by itself included.
+  double arrivals = 0;
 };
 
 // The tokens of one account. If fewer than wanted: when the first of the
@@ -70,8 +73,11 @@
   Millis ask_again{0};
   Millis retry_after{0};
   Millis retry_spacing{0};
-  // Until then no new request of the account gets a token. Retries may.
+  // For so long no new request of the account gets a token; retries may. The
+  // receiver refuses new ones by itself, and tells each to return later than
+  // the one before by this spacing.
   Millis refuse_for{0};
+  Millis refused_spacing{0};
 };
 
 enum class AllowanceMessageKind {
@@ -87,6 +93,8 @@
   AllowanceMessageKind kind = AllowanceMessageKind::kLease;
   InstanceId from;
   DataCentreId data_centre;
+  // Random for each process of the sender.
+  uint64_t process = 0;
   // Rises with each message from one process to one counting instance.
   uint64_t sequence = 0;
   uint64_t config_version = 0;
--- a/packages/engine/include/hibiscuspick/engine/allowance_pool.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_pool.h
@@ -8,7 +8,7 @@
 //     list changes, and at least once a second;
 //   - HandleAllowanceRequest for each message of either kind; its reply is sent
 //     at once;
-//   - TakeExchangeMessages after each message and at its `next_at`; then
+//   - TakeExchangeMessages after each call and at its `next_at`; then
 //     HandleExchangeReply or HandleExchangeFailure for each of its messages.
 #pragma once
 
@@ -32,8 +32,20 @@
 // A loan ends this long after the clock reading that it echoes.
 inline constexpr Millis kLoanTime{1250};
 
-// Reserved places that can wait at one pool. Each is one refused request.
-inline constexpr size_t kMaxPlaces = 4096;
+// A refused request gets a place in the refill if it is due within this time.
+// Callers return only if that is at most a third of the time they have left.
+inline constexpr Millis kPlaceHorizon{2000};
+
+// An exchange without a reply has failed after this time.
+inline constexpr Millis kExchangeTimeout{250};
+
+// The parts of the tolerance E that pay for rate and burst of pools that can't
+// reach each other, for tokens held beyond the burst, and for the start of a
+// pool. Of the remaining 0.2 E, half pays for a second restart of all pools
+// within a window, half for leases and for tokens moved between data centres.
+inline constexpr double kShareTolerance = 0.4;
+inline constexpr double kCapacityTolerance = 0.3;
+inline constexpr double kStartTolerance = 0.1;
 
 // The parts of the bound on an account's requests that the pools divide.
 struct AllowanceLimits {
@@ -41,7 +53,7 @@
   double burst = 0;
   // The tolerance E = overage x (rate x window + burst) + slack.
   double tolerance = 0;
-  // m: the factor on rate and burst that half of the tolerance pays for.
+  // m: the factor on rate and burst that kShareTolerance pays for.
   double share_factor = 1;
 };
 AllowanceLimits MakeAllowanceLimits(const AccountAllowance& allowance,
@@ -57,34 +69,49 @@
 PoolShare MakePoolShare(const AllowanceLimits& limits, double lent);
 
 struct AllowancePool {
+  AllowanceLimits limits;
   PoolShare share;
   double tokens = 0;
-  // The largest share for which start tokens were given.
-  double started_share = 0;
   Millis refilled_at{0};
-  // Requests per second that instances of this data centre wanted tokens for,
-  // as a decaying average, and the last of them.
+  // The largest lent share for which start tokens were given.
+  double started_share = 0;
+  // Tokens above the capacity came from other data centres for requests that
+  // wait, and are dropped then.
+  Millis excess_until{-1e9};
+  // Requests per second of this data centre's instances, as a decaying average,
+  // and the time of the last one.
   double demand_per_second = 0;
   Millis demand_at{-1e9};
   // Tokens per second that came from other data centres, likewise.
   double received_per_second = 0;
   Millis received_at{-1e9};
-  // When the places of refused requests are due, in order.
+  // When the places of refused requests are due, in order; the last one given.
   std::deque<Millis> places;
-  // The exchange with the other data centres.
+  Millis last_place{-1e9};
+  // Refusals beyond kPlaceHorizon, which get no place.
+  uint64_t without_place = 0;
+
+  // Requests that wait for tokens of other data centres.
+  double waiting = 0;
+  // Whether the account is in AllowancePools::short_accounts.
   bool is_short = false;
-  int exchanges_in_flight = 0;
-  Millis exchange_at{-1e9};
-  // The other data centres had too few tokens: no request waits for them, and
-  // they are asked less often, until then.
+  // The current round of messages to other data centres: those without a reply,
+  // tokens asked for and tokens that came.
+  int round_in_flight = 0;
+  double round_asked = 0;
+  double round_given = 0;
+  // The other data centres had too few tokens: until then no request waits for
+  // them, and they aren't asked.
   Millis dry_until{-1e9};
 };
 
-// The current loan of one instance, and what it covers.
+// The current loan of one instance.
 struct HeldLoan {
+  // Of the lender.
+  uint64_t process = 0;
+  uint64_t sequence = 0;
   Millis ends_at;
   uint32_t instances = 0;
-  uint64_t sequence = 0;
   std::vector<std::vector<InstanceId>> candidate_lists;
 };
 
@@ -107,21 +134,31 @@
 
 struct AllowancePools {
   AllowancePoolContext context;
+  // The limited accounts of the configuration.
+  std::unordered_map<ClientAccountId, AllowanceLimits> limits;
   std::map<InstanceId, HeldLoan> loans;
+  // No loan ends before.
+  Millis next_loan_end{kNever};
+  // The sum of the shares lent with the same candidate lists.
+  std::map<std::vector<std::vector<InstanceId>>, double> lent_by_lists;
   std::unordered_map<ClientAccountId, AllowancePool> pools;
-  // The accounts that wait for an exchange.
-  std::vector<ClientAccountId> short_accounts;
-  struct ExchangeState {
+
+  // One counting instance of another data centre.
+  struct Exchange {
     bool in_flight = false;
     uint64_t sequence = 0;
     Millis sent_at{-1e9};
     // Usual time from a message to its reply.
-    Millis round_trip{0};
+    Millis round_trip{5};
+    // It isn't asked until then, since it has failed so often in a row.
+    Millis retry_at{-1e9};
+    int failures = 0;
     std::vector<TokenRequest> asked;
   };
-  std::map<DataCentreId, ExchangeState> exchanges;
+  std::map<InstanceId, Exchange> exchanges;
+  // The accounts that are short of tokens.
+  std::vector<ClientAccountId> short_accounts;
   uint64_t next_sequence = 1;
-  Millis cleaned_at{0};
 };
 
 // Sets the configuration, the settings and the instances. Tokens above a lower
