Allowances: messages carry the process, arrivals and the spacing of local refusals

Cause: the decisions' interfaces were extended. Change: codec, contexts and the report of a refusal to the entry instance.

--- a/packages/edge/include/hibiscuspick/edge/allowance_server.h
+++ b/packages/edge/include/hibiscuspick/edge/allowance_server.h
@@ -3,6 +3,7 @@
 // centres.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,7 +33,8 @@
   };
   Answer HandleEncoded(std::string_view text);
 
-  const engine::AllowancePools& pools() const { return pools_; }
+  // Tells this run of the process from earlier ones.
+  uint64_t process() const { return process_; }
 
  private:
   // Renews the pools' context, which ends expired loans.
--- a/packages/edge/src/account_allowances.cc
+++ b/packages/edge/src/account_allowances.cc
@@ -47,6 +47,7 @@
   engine::LeaseContext leases;
   leases.own = instances_.own;
   leases.data_centre = settings_.data_centre;
+  leases.process = server_.process();
   leases.config_version = config_->version;
   leases.instances = instances_.instances;
   const auto candidates = instances_.candidates.find(settings_.data_centre);
--- a/packages/edge/src/allowance_client.cc
+++ b/packages/edge/src/allowance_client.cc
@@ -87,7 +87,7 @@
   const auto& it = found->second;
   refusal.refuse_for = Max(it.refuse_until - now, Millis(0));
   refusal.retry_after = Max(it.next_place - now, Millis(0));
-  refusal.retry_spacing = it.place_spacing;
+  refusal.refused_spacing = it.refused_spacing;
   return refusal;
 }
 
--- a/packages/edge/src/allowance_wire.cc
+++ b/packages/edge/src/allowance_wire.cc
@@ -22,8 +22,8 @@
 constexpr size_t kMaxListLength = 64;
 
 // An account is an array: its name, followed by this many numbers.
-constexpr size_t kRequestNumbers = 4;
-constexpr size_t kReplyNumbers = 5;
+constexpr size_t kRequestNumbers = 5;
+constexpr size_t kReplyNumbers = 6;
 
 template <size_t n>
 Json EncodeAccount(const ClientAccountId& account,
@@ -155,12 +155,14 @@
   Json accounts = Json::array();
   for (const auto& it : request.accounts) {
     accounts.push_back(EncodeAccount<kRequestNumbers>(
-        it.account, {it.wanted, it.for_retries, it.ahead, it.returned}));
+        it.account,
+        {it.wanted, it.for_retries, it.ahead, it.returned, it.arrivals}));
   }
   const bool is_lease = request.kind == engine::AllowanceMessageKind::kLease;
   return DumpJson({{"kind", is_lease ? kLeaseKind : kExchangeKind},
                    {"from", request.from.text},
                    {"data_centre", request.data_centre.text},
+                   {"process", request.process},
                    {"sequence", request.sequence},
                    {"version", request.config_version},
                    {kLoanKey, EncodeLoan(request.loan)},
@@ -172,7 +174,8 @@
   for (const auto& it : reply.accounts) {
     accounts.push_back(EncodeAccount<kReplyNumbers>(
         it.account, {it.tokens, it.ask_again.count, it.retry_after.count,
-                     it.retry_spacing.count, it.refuse_for.count}));
+                     it.retry_spacing.count, it.refuse_for.count,
+                     it.refused_spacing.count}));
   }
   return DumpJson({{"clock", EncodeClock(reply.clock)},
                    {kAccountsKey, std::move(accounts)}});
@@ -186,24 +189,27 @@
   const auto kind = DecodeKind(FieldOf(message, "kind"));
   auto from = NonEmptyText(FieldOf(message, "from"));
   auto data_centre = NonEmptyText(FieldOf(message, "data_centre"));
+  const auto process = WholeNumber(FieldOf(message, "process"));
   const auto sequence = WholeNumber(FieldOf(message, "sequence"));
   const auto version = WholeNumber(FieldOf(message, "version"));
   auto loan = DecodeLoan(FieldOf(message, kLoanKey));
-  if (!kind || !from || !data_centre || !sequence || !version || !loan) {
+  if (!kind || !from || !data_centre || !process || !sequence || !version ||
+      !loan) {
     return std::nullopt;
   }
   engine::AllowanceRequest request;
   request.kind = *kind;
   request.from = InstanceId(std::move(*from));
   request.data_centre = DataCentreId(std::move(*data_centre));
+  request.process = *process;
   request.sequence = *sequence;
   request.config_version = *version;
   request.loan = std::move(*loan);
   const bool valid = DecodeAccounts<kRequestNumbers>(
       message, [&](auto account, const auto& numbers) {
-        const auto [wanted, for_retries, ahead, returned] = numbers;
-        request.accounts.push_back(
-            {std::move(account), wanted, for_retries, ahead, returned});
+        const auto [wanted, for_retries, ahead, returned, arrivals] = numbers;
+        request.accounts.push_back({std::move(account), wanted, for_retries,
+                                    ahead, returned, arrivals});
       });
   if (!valid) return std::nullopt;
   return request;
@@ -219,11 +225,11 @@
   reply.clock = *clock;
   const bool valid = DecodeAccounts<kReplyNumbers>(
       ValueOf(parsed), [&](auto account, const auto& numbers) {
-        const auto [tokens, ask_again, retry_after, spacing, refuse_for] =
-            numbers;
+        const auto [tokens, ask_again, retry_after, spacing, refuse_for,
+                    refused_spacing] = numbers;
         reply.accounts.push_back({std::move(account), tokens, Millis(ask_again),
                                   Millis(retry_after), Millis(spacing),
-                                  Millis(refuse_for)});
+                                  Millis(refuse_for), Millis(refused_spacing)});
       });
   if (!valid) return std::nullopt;
   return reply;
--- a/packages/edge/src/traffic_admission.cc
+++ b/packages/edge/src/traffic_admission.cc
@@ -23,7 +23,7 @@
 
 std::string FormatRefusal(const engine::TokenGrant& refusal) {
   return fmt::format("{:.2f},{:.2f},{:.4f}", refusal.refuse_for.count,
-                     refusal.retry_after.count, refusal.retry_spacing.count);
+                     refusal.retry_after.count, refusal.refused_spacing.count);
 }
 
 // The refusal without its account; nullopt if malformed.
@@ -33,7 +33,7 @@
   const auto items = SplitList(text);
   engine::TokenGrant refusal;
   Millis* const fields[] = {&refusal.refuse_for, &refusal.retry_after,
-                            &refusal.retry_spacing};
+                            &refusal.refused_spacing};
   if (items.size() != std::size(fields)) return std::nullopt;
   for (size_t i = 0; i < items.size(); ++i) {
     const std::string item(items[i]);
--- a/packages/edge/tests/allowance_wire_test.cc
+++ b/packages/edge/tests/allowance_wire_test.cc
@@ -13,21 +13,22 @@
   request.kind = engine::AllowanceMessageKind::kExchange;
   request.from = InstanceId("edge-1");
   request.data_centre = DataCentreId("a");
+  request.process = 9;
   request.sequence = 3;
   request.config_version = 7;
   request.loan.echo = {~uint64_t{0}, Millis(1234.0625)};
   request.loan.instances = 64;
   request.loan.candidate_lists = {{InstanceId("edge-1"), InstanceId("edge-2")},
                                   {}};
-  request.accounts = {{ClientAccountId("one \"quoted\""), 2, 1, 4, 0.5},
-                      {ClientAccountId("two"), 0, 0, 0, 3}};
+  request.accounts = {{ClientAccountId("one \"quoted\""), 2, 1, 4, 0.5, 6},
+                      {ClientAccountId("two"), 0, 0, 0, 3, 0}};
   return request;
 }
 
 engine::AllowanceReply SampleReply() {
   return {{5, Millis(0.1)},
           {{ClientAccountId("one"), 2, Millis(1), Millis(12.5), Millis(0.25),
-            Millis(50)}}};
+            Millis(50), Millis(2)}}};
 }
 
 BOOST_AUTO_TEST_CASE(RequestIsUnchangedByTheCodec) {
@@ -37,6 +38,7 @@
   BOOST_TEST((request->kind == engine::AllowanceMessageKind::kExchange));
   BOOST_TEST(request->from.text == "edge-1");
   BOOST_TEST(request->data_centre.text == "a");
+  BOOST_TEST(request->process == 9);
   BOOST_TEST(request->sequence == 3);
   BOOST_TEST(request->config_version == 7);
   BOOST_TEST((request->loan.echo == SampleRequest().loan.echo));
@@ -49,6 +51,7 @@
   BOOST_TEST(request->accounts[0].for_retries == 1);
   BOOST_TEST(request->accounts[0].ahead == 4);
   BOOST_TEST(request->accounts[0].returned == 0.5);
+  BOOST_TEST(request->accounts[0].arrivals == 6);
   BOOST_TEST(request->accounts[1].returned == 3);
 }
 
@@ -63,6 +66,7 @@
   BOOST_TEST(reply->accounts[0].retry_after.count == 12.5);
   BOOST_TEST(reply->accounts[0].retry_spacing.count == 0.25);
   BOOST_TEST(reply->accounts[0].refuse_for.count == 50);
+  BOOST_TEST(reply->accounts[0].refused_spacing.count == 2);
 }
 
 // A negative number of returned tokens would take tokens from the pool, and a
--- a/packages/engine/src/remote_refusals.cc
+++ b/packages/engine/src/remote_refusals.cc
@@ -26,8 +26,8 @@
   // again.
   if (!is_new) return;
   it.next_place = now + refusal.retry_after +
-                  refusal.retry_spacing * static_cast<double>(instances.rank);
-  it.spacing = refusal.retry_spacing *
+                  refusal.refused_spacing * static_cast<double>(instances.rank);
+  it.spacing = refusal.refused_spacing *
                static_cast<double>(std::max<size_t>(instances.count, 1));
 }
 
