--- a/packages/edge/include/hibiscuspick/edge/account_allowances.h
+++ b/packages/edge/include/hibiscuspick/edge/account_allowances.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
--- a/packages/edge/src/allowance_client.cc
+++ b/packages/edge/src/allowance_client.cc
@@ -24,6 +24,13 @@
   if (context.config_version != leases_.context.config_version) {
     remote_refusals_ = {};
   }
+  if (!context.enabled) {
+    leases_ = {};
+    loop_->Cancel(std::exchange(timer_, 0));
+    const auto waiting = std::exchange(waiting_, {});
+    for (const auto& [ticket, it] : waiting) it.on_token({});
+    return;
+  }
   engine::SetLeaseContext(&leases_, context, SteadyNow());
   Advance();
 }
--- a/packages/edge/tests/allowance_traffic_test.cc
+++ b/packages/edge/tests/allowance_traffic_test.cc
@@ -186,7 +186,8 @@
 BOOST_AUTO_TEST_CASE(NextInstanceCountsIfTheFirstDoesNotAnswer) {
   for (const bool hangs : {false, true}) {
     Fleet fleet(3);
-    RawServer silent([](const auto&) { return ScriptedReply{.silent = true}; });
+    RawServer silent(
+        [](const auto&) { return ScriptedReply{.text = "", .silent = true}; });
     auto lost = fleet.instances[0].peer();
     lost.id = InstanceId("lost");
     lost.query_address.port = hangs ? silent.port() : FreePort();
@@ -274,7 +275,7 @@
     Fleet fleet(1, 0);
     if (!with_accounts) fleet.SetRate(kRate, false);
     RawServer counting(
-        [](const auto&) { return ScriptedReply{.silent = true}; });
+        [](const auto&) { return ScriptedReply{.text = "", .silent = true}; });
     auto peer = fleet.instances[0].peer();
     peer.id = InstanceId("counting");
     peer.query_address.port = counting.port();
--- a/packages/engine/include/hibiscuspick/engine/remote_refusals.h
+++ b/packages/engine/include/hibiscuspick/engine/remote_refusals.h
@@ -29,9 +29,9 @@
   Millis cleaned_at{0};
 };
 
-// The instances that callers connect to; each of them gives out its own places
-// among those that follow the reported one, so that callers who are refused at
-// different instances are not told to return at the same time.
+// The instances that callers connect to. The reported spacing leaves room for
+// the places of all of them; each starts at another one, so that callers who
+// are refused at different instances don't return at the same time.
 struct EntryInstances {
   size_t count = 1;
   // The position of this one among them, from 0.
--- a/packages/engine/src/remote_refusals.cc
+++ b/packages/engine/src/remote_refusals.cc
@@ -25,10 +25,10 @@
   // Reports of queries that were forwarded together don't start the places
   // again.
   if (!is_new) return;
-  it.next_place = now + refusal.retry_after +
-                  refusal.refused_spacing * static_cast<double>(instances.rank);
-  it.spacing = refusal.refused_spacing *
-               static_cast<double>(std::max<size_t>(instances.count, 1));
+  const double part = static_cast<double>(instances.rank) /
+                      static_cast<double>(std::max<size_t>(instances.count, 1));
+  it.spacing = refusal.refused_spacing;
+  it.next_place = now + refusal.retry_after + it.spacing * part;
 }
 
 std::optional<EarlyRefusal> RefuseEarly(RemoteRefusals* refusals,
