Engine: allowances over all instances, counting and using side

Cause: nothing enforces an account's rate and burst over all instances. Change: pools with loans by echoed clock readings, exchange between data centres, places for refused requests; leases with batched requests, remembered refusals, returned tokens and the own share; the choice of the counting instance.

--- a/packages/engine/include/hibiscuspick/engine/allowance_lease.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_lease.h
@@ -13,12 +13,14 @@
 //     noticed by AdvanceLeases itself; a reply after that is still used.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
@@ -116,7 +118,9 @@
   Millis clock_at{-1e9};
   // When the loan to it ends at the latest.
   Millis loan_ends_at{-1e9};
-  // The newest version of the candidate lists that it has confirmed.
+  // The versions of the candidate lists in the last messages, by sequence, and
+  // the newest version that it has confirmed.
+  std::array<std::pair<uint64_t, uint64_t>, 16> sent_lists{};
   uint64_t confirmed_lists = 0;
 };
 
--- a/packages/engine/include/hibiscuspick/engine/allowance_messages.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_messages.h
@@ -71,6 +71,7 @@
   // If positive, the requests without a token are not refused yet, since tokens
   // may be on the way from other data centres: ask again after this time.
   Millis ask_again{0};
+  // Positive if any is refused.
   Millis retry_after{0};
   Millis retry_spacing{0};
   // For so long no new request of the account gets a token; retries may. The
--- a/packages/engine/include/hibiscuspick/engine/allowance_pool.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_pool.h
@@ -55,6 +55,7 @@
   double tolerance = 0;
   // m: the factor on rate and burst that kShareTolerance pays for.
   double share_factor = 1;
+  auto operator<=>(const AllowanceLimits&) const = default;
 };
 AllowanceLimits MakeAllowanceLimits(const AccountAllowance& allowance,
                                     const AllowanceBounds& bounds);
@@ -95,14 +96,19 @@
   double waiting = 0;
   // Whether the account is in AllowancePools::short_accounts.
   bool is_short = false;
-  // The current round of messages to other data centres: those without a reply,
-  // tokens asked for and tokens that came.
+  // The current round of messages to the other data centres: those without a
+  // reply, tokens asked for, and tokens that came.
   int round_in_flight = 0;
   double round_asked = 0;
   double round_given = 0;
+  // The part of the tokens asked for that each data centre gave lately.
+  std::map<DataCentreId, double> yields;
   // The other data centres had too few tokens: until then no request waits for
-  // them, and they aren't asked.
+  // them.
   Millis dry_until{-1e9};
+  // They aren't asked before, and then at this interval while they have none.
+  Millis ask_from{-1e9};
+  Millis ask_interval{100};
 };
 
 // The current loan of one instance.
@@ -132,30 +138,41 @@
   bool exchange = true;
 };
 
+// What is lent with the same candidate lists.
+struct LoanGroup {
+  // The sum of the shares.
+  double lent = 0;
+  // The accounts for which the lists choose this instance.
+  std::vector<ClientAccountId> accounts;
+};
+
 struct AllowancePools {
   AllowancePoolContext context;
-  // The limited accounts of the configuration.
+  // The accounts of the configuration; those without a limit have rate 0.
   std::unordered_map<ClientAccountId, AllowanceLimits> limits;
   std::map<InstanceId, HeldLoan> loans;
   // No loan ends before.
   Millis next_loan_end{kNever};
-  // The sum of the shares lent with the same candidate lists.
-  std::map<std::vector<std::vector<InstanceId>>, double> lent_by_lists;
+  std::map<std::vector<std::vector<InstanceId>>, LoanGroup> groups;
   std::unordered_map<ClientAccountId, AllowancePool> pools;
 
-  // One counting instance of another data centre.
-  struct Exchange {
-    bool in_flight = false;
-    uint64_t sequence = 0;
-    Millis sent_at{-1e9};
+  // A counting instance of another data centre.
+  struct ExchangePeer {
     // Usual time from a message to its reply.
     Millis round_trip{5};
     // It isn't asked until then, since it has failed so often in a row.
     Millis retry_at{-1e9};
     int failures = 0;
-    std::vector<TokenRequest> asked;
   };
-  std::map<InstanceId, Exchange> exchanges;
+  std::map<InstanceId, ExchangePeer> exchange_peers;
+  // The messages without a reply, by sequence number.
+  struct Exchange {
+    Millis sent_at;
+    AllowanceMessage message;
+    DataCentreId data_centre;
+  };
+  std::map<uint64_t, Exchange> exchanges;
+  Millis exchanged_at{-1e9};
   // The accounts that are short of tokens.
   std::vector<ClientAccountId> short_accounts;
   uint64_t next_sequence = 1;
@@ -173,9 +190,8 @@
                                       const AllowanceRequest& request,
                                       Millis now);
 
-// Messages to counting instances of other data centres, at most one in flight
-// to each data centre, and when to call this again at the latest (kNever if
-// only after the next request).
+// Messages to counting instances of other data centres, and when to call this
+// again at the latest (kNever if only after the next request).
 struct ExchangeMessages {
   std::vector<AllowanceMessage> messages;
   Millis next_at{kNever};
