--- a/packages/engine/tests/allowance_simulation.h
+++ b/packages/engine/tests/allowance_simulation.h
@@ -164,11 +164,17 @@
   }
   // The part of replies that are lost.
   void LoseReplies(double part) { lost_replies_ = part; }
+  // What one instance's list of instances says: their number, and one that it
+  // does not choose.
   void SetInstanceCount(size_t instance, size_t count) {
-    instances_[instance].count_offset =
-        static_cast<int>(count) - static_cast<int>(fleet_.instances);
+    instances_[instance].instances_known = count;
     SetContexts(instance);
   }
+  void Avoid(size_t instance, size_t avoided) {
+    instances_[instance].avoided = avoided;
+    SetContexts(instance);
+    Drive(instance);
+  }
 
   void RunUntil(Millis end) {
     while (!events_.empty() && events_.top().at <= end) {
@@ -231,7 +237,8 @@
     Millis up_at{0};
     Millis hangs_until{-1};
     Millis wakes_at{kNever};
-    int count_offset = 0;
+    size_t instances_known = 0;
+    size_t avoided = SIZE_MAX;
   };
 
   static ClientAccountId IdOf(size_t account) {
@@ -257,14 +264,16 @@
     const InstanceId id("i" + std::to_string(instance));
     const DataCentreId data_centre("dc" +
                                    std::to_string(DataCentreOf(instance)));
-    const size_t count = static_cast<size_t>(
-        static_cast<int>(instances_.size()) + it.count_offset);
+    const size_t count =
+        it.instances_known > 0 ? it.instances_known : instances_.size();
     LeaseContext context;
     context.own = id;
     context.data_centre = data_centre;
     context.process = it.process;
     context.instances = count;
     context.candidates = candidates_.at(data_centre);
+    std::erase(context.candidates,
+               InstanceId("i" + std::to_string(it.avoided)));
     context.enabled = true;
     SetLeaseContext(&it.leases, context, now_);
     AllowancePoolContext pools;
