--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -8,6 +8,7 @@
 
 #include "hibiscuspick/base/log.h"
 #include "hibiscuspick/edge/allowance_wire.h"
+#include "hibiscuspick/edge/caller_identity.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -27,6 +28,8 @@
 // balancer can send the retry to another instance.
 constexpr std::string_view kShortRetryAfter = "0.05";
 
+constexpr int kUnauthorizedStatus = 401;
+
 // How long a peer's report of a cut is used; the peer repeats it in each state
 // update, at the latest after kPeerPollWait.
 constexpr Millis kUnableReportTtl{2500};
@@ -315,6 +318,9 @@
   if (status == 503) {
     reply.headers.push_back({"Retry-After", std::string(kShortRetryAfter)});
   }
+  if (status == kUnauthorizedStatus) {
+    reply.headers.push_back({"WWW-Authenticate", "Bearer"});
+  }
   reply.body = R"({"error":")" + std::string(reason) + R"("})";
   session->Reply(reply);
 }
@@ -332,8 +338,11 @@
     return;
   }
   const auto* route = RouteOf(request);
-  if (route != nullptr && RefuseEarly(session, request, *route)) return;
-  if (route != nullptr && ForwardToPeer(session, request, *route)) return;
+  if (route != nullptr) {
+    if (!AdmitCaller(session.get(), *route, &request)) return;
+    if (RefuseEarly(session, request, *route)) return;
+    if (ForwardToPeer(session, request, *route)) return;
+  }
   ServeLocally(session, std::move(request), route);
 }
 
@@ -352,6 +361,29 @@
   Serve(session, config_, std::move(request), *route, std::nullopt);
 }
 
+bool TrafficServer::AreKeysConfirmed() const {
+  if (!settings_.revoke_after) return true;
+  return confirmed_at_ &&
+         loop_->now() - *confirmed_at_ <= *settings_.revoke_after;
+}
+
+bool TrafficServer::AdmitCaller(HttpSession* session,
+                                const engine::Route& route,
+                                HttpRequest* request) {
+  switch (IdentifyCaller(*config_, route, settings_.names, AreKeysConfirmed(),
+                         request)) {
+    case engine::Access::kGranted:
+      return true;
+    case engine::Access::kDenied:
+      Refuse(session, *request, kUnauthorizedStatus, "unknown_key");
+      return false;
+    case engine::Access::kUnconfirmed:
+      Refuse(session, *request, 503, "keys_unconfirmed");
+      return false;
+  }
+  return false;
+}
+
 void TrafficServer::Run(
     const std::shared_ptr<HttpSession>& session,
     const std::shared_ptr<const engine::TrafficConfig>& config,
--- a/packages/edge/tests/allowance_traffic_test.cc
+++ b/packages/edge/tests/allowance_traffic_test.cc
@@ -52,8 +52,9 @@
   }
 
   TrafficFixture& Add() {
-    return instances.emplace_back(
-        "dc", "edge-" + std::to_string(instances.size()), kBounds);
+    return instances.emplace_back("dc", std::nullopt,
+                                  "edge-" + std::to_string(instances.size()),
+                                  kBounds);
   }
   void SetRate(double rate, bool with_accounts = true) {
     engine::AccountWithKeys account;
--- a/packages/edge/tests/traffic_fixture.h
+++ b/packages/edge/tests/traffic_fixture.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -54,9 +55,11 @@
  public:
   // `instance`: its name, that of the data centre if empty.
   explicit TrafficFixture(const std::string& data_centre = "dc",
+                          std::optional<Millis> revoke_after = std::nullopt,
                           const std::string& instance = "",
                           const engine::AllowanceBounds& allowances = {}) {
     TrafficSettings settings;
+    settings.revoke_after = revoke_after;
     settings.callers = {"127.0.0.1", FreePort()};
     settings.readiness = {"127.0.0.1", FreePort()};
     settings.readiness_path = "/ready";
