Allowances: an instance without its own name neither counts nor lends

Ruled out: a full instance list in the first context; it isn't known then. Change: contexts are set when the lists are known; until then requests of limited accounts get 503 with a short Retry-After.

--- a/packages/edge/src/account_allowances.cc
+++ b/packages/edge/src/account_allowances.cc
@@ -31,6 +31,8 @@
   const bool was_enabled = enabled_;
   enabled_ = IsWanted();
   if (!enabled_ && !was_enabled) return;
+  // Without its own name an instance can neither count nor lend.
+  if (enabled_ && instances_.own.empty()) return;
   messages_.SetPeers(instances_.peers);
   std::optional<engine::AllowancePoolContext> pools;
   if (enabled_) {
--- a/packages/edge/src/allowance_client.cc
+++ b/packages/edge/src/allowance_client.cc
@@ -11,6 +11,10 @@
 // leases notice a peer that is silent much earlier.
 constexpr Millis kMessageTimeout{1000};
 
+// Retry-After while no list of instances is known: the load balancer sends the
+// retry to another instance.
+constexpr Millis kUnknownListRetryAfter{50};
+
 // Rounds of messages to the own pools within one call; further ones are left to
 // the next iteration of the loop.
 constexpr int kMaxRounds = 4;
@@ -46,6 +50,11 @@
 
 std::function<void()> AllowanceClient::Take(
     const engine::ClientAccount& account, bool is_retry, OnToken on_token) {
+  if (leases_.context.own.empty()) {
+    on_token({engine::TokenOutcomeKind::kNoCountingInstance, 0,
+              kUnknownListRetryAfter, Millis(0)});
+    return {};
+  }
   const auto outcome = engine::RequestToken(
       &leases_, account.id, account.allowance, is_retry, SteadyNow());
   if (outcome.kind != engine::TokenOutcomeKind::kWaiting) {
