--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -57,8 +57,8 @@
   constexpr double kMaxWindow = kHour;
   constexpr double kMaxOverage = 100;
   constexpr double kMaxSlack = 1e6;
-  out->allowance_window = Millis(ReadFraction(
-      &reader, "window_ms", kMaxWindow, out->allowance_window.count));
+  out->allowance_window = Millis(ReadFraction(&reader, "window_ms", kMaxWindow,
+                                              out->allowance_window.count));
   out->allowance_overage =
       ReadFraction(&reader, "overage", kMaxOverage, out->allowance_overage);
   out->allowance_slack =
