--- a/packages/engine/include/hibiscuspick/engine/allowance_lease.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_lease.h
@@ -16,7 +16,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -81,12 +80,12 @@
 };
 
 struct AccountLeases {
-  std::deque<TokenLease> leases;
+  std::vector<TokenLease> leases;
   // Unused tokens to give back to the counting instance with the next message,
   // and requests that it hasn't been told of.
   double returned = 0;
   double arrivals = 0;
-  std::deque<WaitingToken> waiting;
+  std::vector<WaitingToken> waiting;
   // Waiting requests are not asked for again before.
   Millis ask_at{-1e9};
   // Counting instances that have not answered for those that wait.
@@ -151,6 +150,8 @@
   uint64_t lists_version = 0;
   // The accounts with waiting requests, leases or tokens to give back.
   std::vector<ClientAccountId> active;
+  // When accounts without recent requests were last removed.
+  Millis swept_at{0};
   // Outcomes for the next AdvanceLeases.
   std::vector<TokenOutcome> outcomes;
   uint64_t next_ticket = 1;
--- a/packages/engine/include/hibiscuspick/engine/allowance_pool.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_pool.h
@@ -14,7 +14,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,9 +38,9 @@
 // An exchange without a reply has failed after this time.
 inline constexpr Millis kExchangeTimeout{250};
 
-// The parts of the tolerance E that pay for rate and burst of pools that can't
+// The parts of the tolerance that pay for rate and burst of pools that can't
 // reach each other, for tokens held beyond the burst, and for the start of a
-// pool. Of the remaining 0.2 E, half pays for a second restart of all pools
+// pool. Of the remaining fifth, half pays for a second restart of all pools
 // within a window, half for leases and for tokens moved between data centres.
 inline constexpr double kShareTolerance = 0.4;
 inline constexpr double kCapacityTolerance = 0.3;
@@ -50,8 +49,9 @@
 // The parts of the bound on an account's requests that the pools divide.
 struct AllowanceLimits {
   double rate_per_second = 0;
+  // At least one token.
   double burst = 0;
-  // The tolerance E = overage x (rate x window + burst) + slack.
+  // The tolerance: what the bound allows above rate x window + burst.
   double tolerance = 0;
   // m: the factor on rate and burst that kShareTolerance pays for.
   double share_factor = 1;
@@ -87,7 +87,7 @@
   double received_per_second = 0;
   Millis received_at{-1e9};
   // When the places of refused requests are due, in order; the last one given.
-  std::deque<Millis> places;
+  std::vector<Millis> places;
   Millis last_place{-1e9};
   // Refusals beyond kPlaceHorizon, which get no place.
   uint64_t without_place = 0;
--- a/packages/engine/src/allowance_lease.cc
+++ b/packages/engine/src/allowance_lease.cc
@@ -35,7 +35,7 @@
   lease.tokens -= 1;
   if (lease.tokens < 1) {
     state->returned += lease.tokens;
-    state->leases.pop_front();
+    state->leases.erase(state->leases.begin());
   }
   return true;
 }
@@ -121,7 +121,7 @@
   while (!state->leases.empty() &&
          now >= state->leases.front().granted_at + kLeaseTime) {
     state->returned += state->leases.front().tokens;
-    state->leases.pop_front();
+    state->leases.erase(state->leases.begin());
   }
 }
 
--- a/packages/engine/src/allowance_lease_messages.cc
+++ b/packages/engine/src/allowance_lease_messages.cc
@@ -18,6 +18,8 @@
 constexpr Millis kProbeInterval{200};
 // Unused tokens go back within this time.
 constexpr Millis kReturnDelay{50};
+// An account without requests for so long is forgotten.
+constexpr Millis kForgetTime{10000};
 // Lists that loans may follow at once. More changes than that wait until an old
 // list has ended.
 constexpr size_t kMaxLists = 6;
@@ -260,6 +262,15 @@
   }
 }
 
+// Removes accounts that have had no request for long.
+void ForgetIdle(AllowanceLeases* leases, Millis now) {
+  if (now < leases->swept_at + kForgetTime) return;
+  leases->swept_at = now;
+  std::erase_if(leases->accounts, [&](auto& it) {
+    return !it.second.is_active && now >= it.second.demand_at + kForgetTime;
+  });
+}
+
 // When something is due next, after all that is due at `now` was done.
 Millis NextTime(const AllowanceLeases& leases, Millis now) {
   Millis next = kNever;
@@ -296,6 +307,7 @@
     CheckTimeouts(leases, now);
     UpdateLists(leases, now);
     SendMessages(leases, GatherRequests(leases, now), now, &actions);
+    ForgetIdle(leases, now);
     actions.next_at = NextTime(*leases, now);
   }
   actions.outcomes = std::move(leases->outcomes);
--- a/packages/engine/src/allowance_pool.cc
+++ b/packages/engine/src/allowance_pool.cc
@@ -64,9 +64,9 @@
     pool->tokens = std::min(capacity, pool->tokens + refill);
   }
   pool->refilled_at = Max(pool->refilled_at, now);
-  while (!pool->places.empty() && pool->places.front() < now - kPlaceHold) {
-    pool->places.pop_front();
-  }
+  const auto kept = std::lower_bound(pool->places.begin(), pool->places.end(),
+                                     now - kPlaceHold);
+  pool->places.erase(pool->places.begin(), kept);
 }
 
 // Sets the limits and the lent share of a settled pool.
@@ -321,12 +321,17 @@
                                     const AllowanceBounds& bounds) {
   AllowanceLimits limits;
   if (!allowance.IsLimited() || bounds.window <= Millis(0)) return limits;
-  const double allowed =
-      allowance.rate_per_second * bounds.window.count / 1000 + allowance.burst;
+  // With a burst below one token no request would ever get one. The tolerance
+  // pays for the difference.
+  const double burst = std::max(1.0, allowance.burst);
+  const double refill = allowance.rate_per_second * bounds.window.count / 1000;
+  const double bound =
+      (refill + allowance.burst) * (1 + bounds.overage) + bounds.slack;
   limits.rate_per_second = allowance.rate_per_second;
-  limits.burst = allowance.burst;
-  limits.tolerance = bounds.overage * allowed + bounds.slack;
-  limits.share_factor = 1 + kShareTolerance * limits.tolerance / allowed;
+  limits.burst = burst;
+  limits.tolerance = std::max(0.0, bound - refill - burst);
+  limits.share_factor =
+      1 + kShareTolerance * limits.tolerance / (refill + burst);
   return limits;
 }
 
@@ -335,9 +340,8 @@
   share.lent = lent;
   const double part = std::min(1.0, limits.share_factor * lent);
   share.refill_per_second = limits.rate_per_second * part;
-  // With a burst below one token no request would ever get one.
-  share.capacity = std::max(1.0, limits.burst) * part +
-                   kCapacityTolerance * limits.tolerance * lent;
+  share.capacity =
+      limits.burst * part + kCapacityTolerance * limits.tolerance * lent;
   return share;
 }
 
