--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -62,6 +62,11 @@
   return was_refused ? QueryFault::kShed : QueryFault::kNoServer;
 }
 
+bool QueryRun::HasCertainlyNotRun() const {
+  return !MayHaveRun() && std::none_of(parts_.begin(), parts_.end(),
+                                       [](auto& it) { return it.relayed; });
+}
+
 void QueryRun::Answer() {
   if (route_->gather) {
     Finish(MergedReply(), QueryFault::kNone);
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hibiscuspick/edge/allowance_wire.h"
 #include "hibiscuspick/edge/caller_identity.h"
 #include "hibiscuspick/edge/traffic_server.h"
 
@@ -35,6 +36,12 @@
     return;
   }
   const auto forwarded = ExtractForwardingHeaders(&request.headers);
+  // A caller's request for this path has forwarding headers.
+  if (!forwarded && request.method == "POST" &&
+      request.target == kAllowancePath) {
+    OnAllowanceMessage(session, request);
+    return;
+  }
   if (forwarded && !forwarded->remainder.token.empty()) {
     OnRemainderRequested(session, *forwarded);
     return;
@@ -103,7 +110,7 @@
     return;
   }
   const auto query = found.mapped();
-  CancelOnDisconnect(session, query);
+  CancelOnDisconnect(session, query, {});
   const std::weak_ptr<QueryRun> weak = query;
   query->Resume(
       forwarded.deadlines, forwarded.shard_indices, forwarded.remainder.needed,
@@ -188,6 +195,7 @@
   if (result == ForwardResult::kAnswered) {
     HttpReply answer = reply;
     answer.headers = EndToEndHeaders(reply.headers);
+    TakePeerRefusal(forwarded.request.account, &answer);
     std::erase_if(answer.headers, [](const Header& it) {
       return EqualsIgnoreCase(it.name, kProcessingTimeHeader) ||
              EqualsIgnoreCase(it.name, kUtilisationHeader);
@@ -209,6 +217,7 @@
 void TrafficServer::AnswerRemaining() {
   const auto running = running_;
   for (const auto& it : running) it->AnswerNow();
+  RefuseTokenWaits();
   for (auto& [session, it] : std::exchange(forwarded_requests_, {})) {
     const bool may_have_run = it.cancel && it.cancel();
     Refuse(it.session.get(), it.request, may_have_run ? 502 : 503,
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -18,6 +18,7 @@
     "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
     "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
     "cold_servers": {"overage": 1.5, "slack": 5},
+    "allowances": {"window_ms": 2.5e3, "overage": 0.1, "slack": 20},
     "client_keys": {"strict_revocation": true, "max_age_ms": 7000},
     "regions": {"a": "north", "b": "south"}, "grace_ms": 6000}})");
 }
@@ -32,6 +33,9 @@
   BOOST_TEST(ToText(settings.updates) == "10.0.0.1:4");
   BOOST_TEST(settings.cold_overage == 1.5);
   BOOST_TEST(settings.cold_slack == 5);
+  BOOST_TEST(settings.allowance_window.count == 2500);
+  BOOST_TEST(settings.allowance_overage == 0.1);
+  BOOST_TEST(settings.allowance_slack == 20);
   BOOST_TEST(settings.strict_revocation);
   BOOST_TEST(settings.max_key_age.count == 7000);
   BOOST_TEST(!EdgeSettings().strict_revocation);
