Watches wait for a third of the age that strict revocation allows

Cause: a watch waits 3 s and a poll of a peer 0.7 s, so that with a bound of 5 s one lost reply of the store made instances refuse requests with a key; a shorter bound refused them in normal operation. Ruled out: a lower fixed wait: other deployments would pay for more answered watches.

--- a/packages/engine/include/hibiscuspick/engine/update_sources.h
+++ b/packages/engine/include/hibiscuspick/engine/update_sources.h
@@ -19,6 +19,12 @@
 // How long a poll of a peer waits there if there is no update.
 inline constexpr Millis kPeerPollWait{700};
 
+// How long a watch waits if state must not be older than `max_age`: a third of
+// it, at most kWatchWait. The poll of a peer and one call that fails come on
+// top; with 3000 ms and a bound of 5000 ms a single lost reply of the store
+// exceeds the bound.
+Millis WatchWaitFor(Millis max_age);
+
 // State that the store confirmed longer ago than this is outdated: 3000 + 400 +
 // 700 ms for a watch with its timeout margin and a poll of a peer.
 inline constexpr Millis kMaxUpdateAge{4100};
--- a/packages/engine/src/update_sources.cc
+++ b/packages/engine/src/update_sources.cc
@@ -103,6 +103,12 @@
 
 }  // namespace
 
+Millis WatchWaitFor(Millis max_age) {
+  constexpr Millis kShortestWait{100};
+  constexpr double kShareOfAge = 1.0 / 3;
+  return Max(kShortestWait, Min(kWatchWait, max_age * kShareOfAge));
+}
+
 Millis UpdateAge(const UpdateState& state, Millis now) {
   return now - Max(state.confirmed_at, state.started_at);
 }
--- a/packages/engine/tests/update_sources_test.cc
+++ b/packages/engine/tests/update_sources_test.cc
@@ -136,5 +136,16 @@
   BOOST_TEST(CurrentSources(table, state, kNow).watch_store);
 }
 
+// Failure: state is older than its bound in normal operation, or a watch does
+// not wait at all.
+BOOST_AUTO_TEST_CASE(WatchesWaitForAThirdOfTheAge) {
+  BOOST_TEST(WatchWaitFor(Millis(3600000)).count == kWatchWait.count);
+  BOOST_TEST(WatchWaitFor(Millis(1800)).count == 600);
+  BOOST_TEST(WatchWaitFor(Millis(100)).count == 100);
+  // A poll of a peer, and a lost reply of the store in between.
+  const Millis wait = WatchWaitFor(Millis(5000));
+  BOOST_TEST((wait * 2 + kPeerPollWait).count < 5000);
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
