Parts whose better server is in another data centre go through a relay

Cause: while servers of a data centre are slow or refuse requests, a fifth of all parts went to servers elsewhere one by one, each with a request and a reply of its own. Ruled out: forwarded queries (0 bytes); state updates (1.7 MB). Change: QueryRun::RelayParts asks which server an attempt would get now; where it is elsewhere, the part counts as one without a server here and joins a relay's group (three parts at least). Switch relay_remote_choices.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -143,6 +143,9 @@
   bool IsEvacuated(const ServiceId& service) const;
   void SetShare(const ServiceId& service, const ServiceShare& share);
 
+  // The data centre of the server that TryStart would choose now; nullopt if no
+  // server can take an attempt. The spec needs no callbacks.
+  std::optional<DataCentreId> DataCentreOfChoice(const AttemptSpec& spec);
   // Starts an attempt on the best server; nullopt if no server can take one
   // now.
   std::optional<StartedAttempt> TryStart(AttemptSpec spec);
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -215,6 +215,7 @@
   // Forwards parts in other data centres to relays there; returns the remaining
   // parts.
   std::vector<size_t> RelayParts(const std::vector<size_t>& parts);
+  bool IsBetterElsewhere(size_t i) const;
   bool SendRelay(const engine::RelayGroup& group);
   // Sends a request for parts of this query to a peer; the answer is due in
   // `due`.
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -141,52 +141,6 @@
   return estimate;
 }
 
-Backends::Server* Backends::ChooseServer(const AttemptSpec& spec) {
-  auto& state = StateOf(spec.service);
-  const Millis now = loop_->now();
-  static const engine::AllowedDataCentres unrestricted;
-  const auto& allowed_data_centres = spec.allowed_data_centres != nullptr
-                                         ? *spec.allowed_data_centres
-                                         : unrestricted;
-  auto choice = policy_.choice;
-  choice.max_open_attempts =
-      std::min(choice.max_open_attempts, state.share.connections);
-  choice.cold_allowance = state.share.cold_allowance;
-  JoinPauseCycle(&state, spec.budget_service);
-  choice.pause_cycle = state.pause_cycle.get();
-  if (policy_.mechanisms.failing_server_penalty &&
-      !HasExtraAttempt(spec.budget_service, engine::kUrgentReserve)) {
-    choice.failure_cost = choice.unbudgeted_failure_cost;
-  }
-  std::vector<const engine::ServerView*> views;
-  std::vector<Server*> servers;
-  const size_t n = state.servers.size();
-  ++state.rotation;
-  for (size_t i = 0; i < n; ++i) {
-    Server* server = state.servers[(i + state.rotation) % n].get();
-    const auto& view = server->view;
-    if (!MayServe(*server, allowed_data_centres)) continue;
-    if (spec.skip_suspected && engine::IsPauseSuspected(view, now)) continue;
-    if (std::find(spec.excluded.begin(), spec.excluded.end(), view.entry.id) !=
-        spec.excluded.end()) {
-      continue;
-    }
-    views.push_back(&view);
-    servers.push_back(server);
-  }
-  const auto best =
-      engine::ChooseServer(views, choice, spec.median_latency, now);
-  return best ? servers[*best] : nullptr;
-}
-
-void Backends::JoinPauseCycle(ServiceState* state,
-                              const ServiceId& budget_service) {
-  if (state->pause_cycle || !policy_.mechanisms.pause_prediction) return;
-  auto& cycle = pause_cycles_[budget_service];
-  if (!cycle) cycle = std::make_shared<engine::PauseCycle>();
-  state->pause_cycle = cycle;
-}
-
 std::optional<StartedAttempt> Backends::TryStart(AttemptSpec spec) {
   Server* chosen = ChooseServer(spec);
   if (chosen == nullptr) return std::nullopt;
--- a/packages/edge/src/query_relay.cc
+++ b/packages/edge/src/query_relay.cc
@@ -30,6 +30,10 @@
   for (const size_t i : parts) {
     data_centres[i] = context_->backends->DataCentresOfService(
         parts_[i].service, allowed_data_centres());
+    if (mechanisms().relay_remote_choices && IsBetterElsewhere(i)) {
+      std::erase(data_centres[i],
+                 context_->backends->policy().choice.own_data_centre);
+    }
   }
   const auto groups = engine::GroupRelays(
       data_centres, context_->backends->policy().choice.own_data_centre,
@@ -46,6 +50,21 @@
   return not_relayed;
 }
 
+// Whether the part would be sent to a server in another data centre although
+// there is one here. While many servers here are slow or refuse requests, a
+// third of a query's parts go elsewhere; one by one they cost some 1000 bytes
+// each between data centres, through a relay some 30.
+bool QueryRun::IsBetterElsewhere(size_t i) const {
+  AttemptSpec spec;
+  spec.service = parts_[i].service;
+  spec.budget_service = budget_service_;
+  spec.median_latency = route_latency_->median;
+  spec.allowed_data_centres = &allowed_data_centres();
+  const auto choice = context_->backends->DataCentreOfChoice(spec);
+  return choice &&
+         *choice != context_->backends->policy().choice.own_data_centre;
+}
+
 bool QueryRun::SendRelay(const engine::RelayGroup& group) {
   const auto* peer = context_->peers->ChooseRelay(group.data_centre);
   if (peer == nullptr) return false;
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <ostream>
 #include <set>
 
@@ -88,6 +89,47 @@
   }
 }
 
+// Sum of the local instance's counters of bytes for the purpose.
+double RemoteBytes(const TrafficFixture& fixture, const std::string& purpose) {
+  const std::string text = fixture.GetReadiness("/metrics");
+  double sum = 0;
+  const std::string key = "remote_bytes_total{purpose=\"" + purpose + "\"";
+  for (size_t at = 0; (at = text.find(key, at)) != std::string::npos; ++at) {
+    sum += std::strtod(text.c_str() + text.find("} ", at) + 2, nullptr);
+  }
+  return sum;
+}
+
+// Failure: the servers here of half of the shards fail, so that their parts go
+// to another data centre one by one, each with its own request and reply.
+BOOST_AUTO_TEST_CASE(PartsThatAreBetterElsewhereAreRelayed) {
+  TwoDataCentres data_centres([](size_t i) { return i % 2 == 0; });
+  for (auto& it : data_centres.local.entries()) {
+    it.data_centre = DataCentreId("here");
+  }
+  for (size_t i = 0; i < kShards; i += 2) {
+    data_centres.local.AddServer(
+        "shard-" + std::to_string(i), [=](const std::string& it) {
+          return ScriptedReply{
+              .text = ValidReply(it, "stamp-" + std::to_string(i), Record(i))};
+        });
+    data_centres.local.entries().back().data_centre = DataCentreId("there");
+  }
+  data_centres.local.Publish();
+  data_centres.local.CopyConfigTo(&data_centres.remote);
+  data_centres.SetPeers({}, {data_centres.remote.peer()});
+  // The first queries find out that the servers here fail.
+  const bool relayed = Eventually([&] {
+    (void)data_centres.local.SendRequest("GET /g/x");
+    return RemoteBytes(data_centres.local, "relays") > 0;
+  });
+  BOOST_TEST(relayed);
+  const double parts_before = RemoteBytes(data_centres.local, "parts");
+  const auto answer = data_centres.local.SendRequest("GET /g/x");
+  BOOST_TEST(StampCount(answer) == kShards);
+  BOOST_TEST(RemoteBytes(data_centres.local, "parts") == parts_before);
+}
+
 // The peer is unreachable: its parts are queried from here, without using the
 // budget since nothing has run.
 BOOST_AUTO_TEST_CASE(PartsOfUnreachableRelayAreQueriedLocally) {
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -42,6 +42,9 @@
   bool cut_off_notices = true;
   // Lets a peer near a remote data centre query its part and merge the replies.
   bool relays = true;
+  // Also relays parts for which a server in another data centre is better than
+  // the one here, and not only those without a server here.
+  bool relay_remote_choices = true;
   // Concentrates the sending of fan-outs on a few instances.
   bool primary_senders = true;
   // Ends abandoned attempts at once if others are waiting.
@@ -75,6 +78,7 @@
     MechanismName{"reachability_probes", &Mechanisms::reachability_probes},
     MechanismName{"told_cut_off", &Mechanisms::cut_off_notices},
     MechanismName{"relays", &Mechanisms::relays},
+    MechanismName{"relay_remote_choices", &Mechanisms::relay_remote_choices},
     MechanismName{"few_senders", &Mechanisms::primary_senders},
     MechanismName{"room_from_abandoned", &Mechanisms::preempt_abandoned},
     MechanismName{"early_requests", &Mechanisms::early_request_queue},
