Servers that refuse: refusals are no failures, refused parts go elsewhere first

Where half of a service's servers refuse six in ten requests, the failure cost, and six times more of it once the budget is low, sent everything to the other half, whose queues grew; after a few refusals in a row a server got nothing for up to a second; and a refused part could be sent to the same server again.

Change: engine/refusal_history keeps the share of refusals of each server, which adds three median latencies to its cost at certain refusal. A refused part is sent to the servers that have refused it only if no other can take it. Switch: refusal_evidence.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -57,6 +57,8 @@
   Millis overdue_after;
   // Servers that must not get this attempt.
   std::vector<BackendServerId> excluded;
+  // Servers that have refused the part.
+  std::vector<BackendServerId> refused_by;
   // Data centres the route is restricted to; null for all. Owned by the route,
   // which outlives the attempt.
   const engine::AllowedDataCentres* allowed_data_centres = nullptr;
@@ -202,6 +204,8 @@
   // address.
   void RecordMisdirected(const AttemptResult& result);
   void RecordFailure(const AttemptResult& result);
+  // Records that the server did not run the request.
+  void RecordRefusal(const AttemptResult& result);
   void RecordReply(const AttemptResult& result, Millis median_latency);
   // Records the remaining warm-up time that the server reported.
   void RecordWarmup(const AttemptResult& result, Millis left);
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -182,6 +182,7 @@
     // Servers on which the part may have run.
     std::vector<BackendServerId> may_have_run_on;
     int refusals = 0;
+    std::vector<BackendServerId> refused_by;
     std::optional<QueueKey> queue_key;
     bool received = false;
     bool failed = false;
@@ -255,6 +256,7 @@
   bool IsValidReply(const HttpReply& reply) const;
   // Records the remaining warm-up time that the server reported, if any.
   void RecordWarmup(const AttemptResult& result);
+  bool IsRefusal(const AttemptResult& result) const;
   void OnFailedAttempt(size_t i, const AttemptResult& result);
   void RetryPart(size_t i, bool may_have_run);
   bool MayWait(const Part& part, bool is_extra) const;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -156,6 +156,9 @@
   }
   std::vector<const engine::ServerView*> views;
   std::vector<Server*> servers;
+  // Servers that have refused the part; used only if no other can take it.
+  std::vector<const engine::ServerView*> refusing_views;
+  std::vector<Server*> refusing;
   const size_t n = state.servers.size();
   ++state.rotation;
   for (size_t i = 0; i < n; ++i) {
@@ -167,12 +170,19 @@
         spec.excluded.end()) {
       continue;
     }
-    views.push_back(&view);
-    servers.push_back(server);
+    const bool has_refused =
+        policy_.mechanisms.refusal_evidence &&
+        std::find(spec.refused_by.begin(), spec.refused_by.end(),
+                  view.entry.id) != spec.refused_by.end();
+    (has_refused ? refusing_views : views).push_back(&view);
+    (has_refused ? refusing : servers).push_back(server);
   }
   const auto best =
       engine::ChooseServer(views, choice, spec.median_latency, now);
-  return best ? servers[*best] : nullptr;
+  if (best) return servers[*best];
+  const auto again =
+      engine::ChooseServer(refusing_views, choice, spec.median_latency, now);
+  return again ? refusing[*again] : nullptr;
 }
 
 void Backends::JoinPauseCycle(ServiceState* state,
@@ -358,6 +368,11 @@
                         loop_->now());
 }
 
+void Backends::RecordRefusal(const AttemptResult& result) {
+  engine::RecordRefusal(result.view.get(), result.id, policy_.choice,
+                        loop_->now());
+}
+
 void Backends::RecordWarmup(const AttemptResult& result, Millis left) {
   result.view->warm_at = loop_->now() + left;
 }
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -205,6 +205,7 @@
   spec.median_latency = route_latency_->median;
   spec.overdue_after = route_latency_->hedge_after;
   spec.excluded = parts_[i].may_have_run_on;
+  spec.refused_by = parts_[i].refused_by;
   for (const auto& it : parts_[i].open) spec.excluded.push_back(it.server);
   spec.allowed_data_centres = &route_->allowed_data_centres;
   spec.is_head = request_.method == "HEAD";
@@ -284,26 +285,36 @@
     Advance();
     return;
   }
-  backends.RecordFailure(result);
+  if (IsRefusal(result)) {
+    backends.RecordRefusal(result);
+  } else {
+    backends.RecordFailure(result);
+  }
   if (!done_ && !part.received) OnFailedAttempt(i, result);
   if (!done_) Advance();
 }
 
+bool QueryRun::IsRefusal(const AttemptResult& result) const {
+  return result.end == AttemptEnd::kReply &&
+         !FindHeader(result.reply.headers, context_->names->not_run).empty();
+}
+
 void QueryRun::OnFailedAttempt(size_t i, const AttemptResult& result) {
   auto& part = parts_[i];
-  const auto& names = *context_->names;
   bool may_have_run = result.end == AttemptEnd::kBroken;
   if (result.end == AttemptEnd::kReply) {
     constexpr int kMisdirected = 421;
     const bool misdirected = result.reply.status == kMisdirected;
-    may_have_run =
-        !misdirected && FindHeader(result.reply.headers, names.not_run).empty();
+    may_have_run = !misdirected && !IsRefusal(result);
     if (misdirected) context_->backends->RecordMisdirected(result);
     if (may_have_run) part.failure = result.reply;
   }
   if (!may_have_run) {
     std::erase(part.may_have_run_on, result.server);
-    if (result.end == AttemptEnd::kReply) ++part.refusals;
+    if (result.end == AttemptEnd::kReply) {
+      ++part.refusals;
+      part.refused_by.push_back(result.server);
+    }
   }
   RetryPart(i, may_have_run);
 }
--- a/packages/edge/tests/true_statuses_test.cc
+++ b/packages/edge/tests/true_statuses_test.cc
@@ -110,6 +110,9 @@
       Eventually([&] { return fixture.servers()[0]->requests().size() == 2; }));
   send("500");
   for (int i = 0; i < 16; ++i) send("2000");
+  // Requests on other connections may be read in another order.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  send("2000");
   const auto began = SteadyNow();
   const auto refused = clients.back()->Receive();
   BOOST_TEST((SteadyNow() - began).count < 500);
--- a/packages/engine/include/hibiscuspick/engine/server_view.h
+++ b/packages/engine/include/hibiscuspick/engine/server_view.h
@@ -12,6 +12,7 @@
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/pause_cycle.h"
+#include "hibiscuspick/engine/refusal_history.h"
 
 namespace hibiscuspick::engine {
 
@@ -56,6 +57,7 @@
   // Only maintained where requests to cold servers are limited.
   RecentSends recent_sends;
   PauseHistory pauses;
+  RefusalHistory refusals;
   // Nothing is sent before this, after a refusal or a failure.
   Millis backoff_until;
   int consecutive_failures = 0;
@@ -103,6 +105,10 @@
   // then lost, and the whole query once it has lost more parts than the minimum
   // coverage allows.
   double unbudgeted_failure_cost = 12;
+  // Extra cost of a certain refusal as a multiple of the median latency. A
+  // higher one sends everything to the servers that refuse nothing, also when
+  // they are overloaded; a lower one uses more of the budget.
+  double refusal_cost = 3;
   // Initial backoff after a failure, doubled for each consecutive one.
   Millis initial_backoff{25};
   Millis max_backoff{1000};
@@ -115,6 +121,7 @@
   bool use_relative_latency = true;
   bool adaptive_limit = true;
   bool pause_suspicion = true;
+  bool refusal_evidence = true;
 };
 
 // The number of attempts that may be open at the server: the concurrency limit,
@@ -169,7 +176,11 @@
 void RecordReply(ServerView* server, AttemptId attempt, Millis latency,
                  Millis median_latency, const ChoicePolicy& policy, Millis now);
 
-// Records an attempt that failed, was refused or broke off.
+// Records an attempt that the server refused to run.
+void RecordRefusal(ServerView* server, AttemptId attempt,
+                   const ChoicePolicy& policy, Millis now);
+
+// Records an attempt that failed or broke off.
 void RecordFailure(ServerView* server, AttemptId attempt,
                    const ChoicePolicy& policy, Millis now);
 
--- a/packages/engine/src/server_view.cc
+++ b/packages/engine/src/server_view.cc
@@ -139,6 +139,8 @@
   }
   cost +=
       median_latency * (policy.failure_cost * FailureRate(server, policy, now));
+  cost += median_latency *
+          (policy.refusal_cost * RefusalRate(server.refusals, now));
   if (policy.pause_cycle != nullptr) {
     cost += ExpectedPauseDelay(server.pauses, *policy.pause_cycle,
                                median_latency, now);
@@ -182,6 +184,7 @@
   }
   RemoveAttempt(server, attempt);
   RecordOutcome(server, false, policy, now);
+  RecordOutcome(&server->refusals, false, now);
   server->consecutive_failures = 0;
   const double factor = latency.count / std::max(median_latency.count, 0.1);
   AdaptLimit(server, factor, policy, now);
@@ -191,6 +194,18 @@
   server->relative_latency_at = now;
 }
 
+void RecordRefusal(ServerView* server, AttemptId attempt,
+                   const ChoicePolicy& policy, Millis now) {
+  if (!policy.refusal_evidence) {
+    RecordFailure(server, attempt, policy, now);
+    return;
+  }
+  RemoveAttempt(server, attempt);
+  RecordOutcome(&server->refusals, true, now);
+  server->backoff_until =
+      Max(server->backoff_until, now + RefusalBackoff(server->refusals));
+}
+
 void RecordFailure(ServerView* server, AttemptId attempt,
                    const ChoicePolicy& policy, Millis now) {
   RemoveAttempt(server, attempt);
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -27,6 +27,9 @@
   bool failing_server_penalty = true;
   // Decays the failure rate of a rarely used server more slowly.
   bool failure_decay_by_attempts = true;
+  // Tells a server's refusals from its failures, and sends a refused part to
+  // servers that have not refused it first.
+  bool refusal_evidence = true;
   // Compares servers by the latency of their replies.
   bool relative_latency = true;
   // Adapts a server's limit of concurrent attempts to its latency.
@@ -68,6 +71,7 @@
     MechanismName{"dearer_failing", &Mechanisms::failing_server_penalty},
     MechanismName{"failures_by_attempts",
                   &Mechanisms::failure_decay_by_attempts},
+    MechanismName{"refusal_evidence", &Mechanisms::refusal_evidence},
     MechanismName{"learned_slowness", &Mechanisms::relative_latency},
     MechanismName{"adapted_limit", &Mechanisms::adaptive_limit},
     MechanismName{"pause_belief", &Mechanisms::pause_suspicion},
