Failed connects mark a server unreachable also after their query was answered

If its connection then failed, that was no longer recorded, so an unreachable server whose parts a hedge answers first would have kept getting attempts.

Change: a failed connect schedules the probe in any case.

--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -245,9 +245,11 @@
                    [this, server, channel, id](bool ok) {
                      const bool is_needed = attempts_.contains(id);
                      if (!ok) {
-                       if (!is_needed) return;
+                       // Also if another server has answered meanwhile: else
+                       // an unreachable server that always loses to a hedge
+                       // would get attempts for as long as it is.
                        ScheduleProbe(server);
-                       EndAttempt(id, AttemptEnd::kNotSent, {});
+                       if (is_needed) EndAttempt(id, AttemptEnd::kNotSent, {});
                        return;
                      }
                      if (is_needed && IsEvacuated(*server)) {
