--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "hibiscuspick/engine/gather.h"
 #include "hibiscuspick/engine/lag_meter.h"
 #include "hibiscuspick/engine/peers.h"
+#include "hibiscuspick/engine/retry_bookings.h"
 #include "hibiscuspick/engine/route_latency.h"
 #include "hibiscuspick/engine/traffic_config.h"
 
@@ -45,6 +47,8 @@
   // half times the one-way network latency.
   PeerSender* peers = nullptr;
   engine::LagMeter relay_lag{Millis(5)};
+  // Places of the refused requests of each service.
+  std::unordered_map<ServiceId, engine::RetryBookings> retry_bookings;
   // Subtracted from the caller's deadline, for the same reason as
   // answer_margin.
   Millis deadline_margin{12};
@@ -186,6 +190,7 @@
     // Servers on which the part may have run.
     std::vector<BackendServerId> may_have_run_on;
     int refusals = 0;
+    std::vector<BackendServerId> refused_by;
     std::optional<QueueKey> queue_key;
     bool received = false;
     bool failed = false;
@@ -266,6 +271,7 @@
   bool IsValidReply(const HttpReply& reply) const;
   // Records the remaining warm-up time that the server reported, if any.
   void RecordWarmup(const AttemptResult& result);
+  bool IsRefusal(const AttemptResult& result) const;
   void OnFailedAttempt(size_t i, const AttemptResult& result);
   void RetryPart(size_t i, bool may_have_run);
   bool MayWait(const Part& part, bool is_extra) const;
@@ -281,7 +287,7 @@
   HttpReply MergedReply() const;
   HttpReply ErrorReply(int status, QueryFault fault) const;
   void Fail(QueryFault fault);
-  Millis RetryAfterNoServer() const;
+  Millis RetryAfter(QueryFault fault) const;
   // Why a request fails that no server can be tried for any more.
   QueryFault FaultOfFailedParts() const;
   void Finish(HttpReply reply, QueryFault fault);
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -127,10 +127,10 @@
     concurrency += server_concurrency;
   }
   if (!fastest) return std::nullopt;
-  engine::ShardEstimate estimate{Millis(0), *fastest, Millis(0)};
-  if (state.queue.empty()) return estimate;
   const Millis time_per_part =
       median_latency * (1 / std::max(concurrency, kMinConcurrency));
+  engine::ShardEstimate estimate{Millis(0), *fastest, Millis(0), time_per_part};
+  if (state.queue.empty()) return estimate;
   const auto& queue = state.queue;
   const auto on_time_end = queue.upper_bound({false, due.count, 0, 0});
   const auto deprioritized_end = queue.upper_bound({true, due.count, 0, 0});
@@ -194,9 +194,11 @@
                    [this, server, channel, id](bool ok) {
                      const bool is_needed = attempts_.contains(id);
                      if (!ok) {
-                       if (!is_needed) return;
+                       // Also if another server has answered meanwhile: else
+                       // an unreachable server that always loses to a hedge
+                       // would get attempts for as long as it is.
                        ScheduleProbe(server);
-                       EndAttempt(id, AttemptEnd::kNotSent, {});
+                       if (is_needed) EndAttempt(id, AttemptEnd::kNotSent, {});
                        return;
                      }
                      if (is_needed && IsEvacuated(*server)) {
@@ -324,6 +326,11 @@
                         loop_->now());
 }
 
+void Backends::RecordRefusal(const AttemptResult& result) {
+  engine::RecordRefusal(result.view.get(), result.id, policy_.choice,
+                        loop_->now());
+}
+
 void Backends::RecordWarmup(const AttemptResult& result, Millis left) {
   result.view->warm_at = loop_->now() + left;
 }
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -21,12 +21,18 @@
   bool deferred_shards = true;
   // Rejects a query as a whole if queues would make it late.
   bool whole_query_rejection = true;
+  // Spreads the retries of refused single-server requests over the expected
+  // capacity.
+  bool booked_retries = true;
   // Queues parts last if they are expected to miss, or have missed, the target.
   bool deprioritize_late = true;
   // Raises failing servers' cost while the budget of extra attempts is low.
   bool failing_server_penalty = true;
   // Decays the failure rate of a rarely used server more slowly.
   bool failure_decay_by_attempts = true;
+  // Tells a server's refusals from its failures, and sends a refused part to
+  // servers that have not refused it first.
+  bool refusal_evidence = true;
   // Compares servers by the latency of their replies.
   bool relative_latency = true;
   // Adapts a server's limit of concurrent attempts to its latency.
@@ -70,10 +76,12 @@
     MechanismName{"needed_retries", &Mechanisms::urgent_retries_only},
     MechanismName{"kept_back_shards", &Mechanisms::deferred_shards},
     MechanismName{"whole_query_refusal", &Mechanisms::whole_query_rejection},
+    MechanismName{"booked_retries", &Mechanisms::booked_retries},
     MechanismName{"late_behind", &Mechanisms::deprioritize_late},
     MechanismName{"dearer_failing", &Mechanisms::failing_server_penalty},
     MechanismName{"failures_by_attempts",
                   &Mechanisms::failure_decay_by_attempts},
+    MechanismName{"refusal_evidence", &Mechanisms::refusal_evidence},
     MechanismName{"learned_slowness", &Mechanisms::relative_latency},
     MechanismName{"adapted_limit", &Mechanisms::adaptive_limit},
     MechanismName{"pause_belief", &Mechanisms::pause_suspicion},
