--- a/packages/engine/tests/allowance_simulation.h
+++ b/packages/engine/tests/allowance_simulation.h
@@ -29,6 +29,13 @@
   Millis remote_delay{0.9};
   AllowanceBounds bounds{Millis(5000), 0.1, 20};
   bool exchange = true;
+  // Data centres are in regions in turn.
+  size_t regions = 1;
+  Millis region_delay{20};
+  // All data centres count together, as if they were one.
+  bool is_one_pool = false;
+  // Off: a derived class decides.
+  bool enabled = true;
 };
 
 struct AccountResult {
@@ -61,6 +68,13 @@
       by_id_[peer.id] = i;
     }
     candidates_ = AllCountingCandidates(table, Millis(0));
+    if (fleet_.is_one_pool) {
+      std::vector<InstanceId> all;
+      for (const auto& [data_centre, candidates] : candidates_) {
+        all.insert(all.end(), candidates.begin(), candidates.end());
+      }
+      candidates_ = {{DataCentreId("all"), all}};
+    }
     SetAccounts(accounts);
     results_.resize(accounts.size());
     for (size_t i = 0; i < fleet.instances; ++i) Start(i);
@@ -212,10 +226,13 @@
     return static_cast<double>(result.runs.size()) /
            static_cast<double>(std::max<size_t>(result.ideal, 1));
   }
+  // Extra time of each admitted request.
+  const std::vector<float>& waits() const { return waits_; }
   size_t messages() const { return messages_; }
   size_t remote_messages() const { return remote_messages_; }
+  virtual ~AllowanceSimulation() = default;
 
- private:
+ protected:
   struct Event {
     Millis at;
     uint64_t number;
@@ -262,8 +279,9 @@
   void SetContexts(size_t instance) {
     auto& it = instances_[instance];
     const InstanceId id("i" + std::to_string(instance));
-    const DataCentreId data_centre("dc" +
-                                   std::to_string(DataCentreOf(instance)));
+    const DataCentreId data_centre(
+        fleet_.is_one_pool ? "all"
+                           : "dc" + std::to_string(DataCentreOf(instance)));
     const size_t count =
         it.instances_known > 0 ? it.instances_known : instances_.size();
     LeaseContext context;
@@ -274,7 +292,7 @@
     context.candidates = candidates_.at(data_centre);
     std::erase(context.candidates,
                InstanceId("i" + std::to_string(it.avoided)));
-    context.enabled = true;
+    context.enabled = fleet_.enabled;
     SetLeaseContext(&it.leases, context, now_);
     AllowancePoolContext pools;
     pools.own = id;
@@ -296,8 +314,8 @@
     Drive(instance);
   }
 
-  void Decide(size_t account, size_t instance, Millis retry_within,
-              bool is_retry) {
+  virtual void Decide(size_t account, size_t instance, Millis retry_within,
+                      bool is_retry) {
     auto& it = instances_[instance];
     const auto outcome =
         RequestToken(&it.leases, IdOf(account),
@@ -317,6 +335,7 @@
     result.longest_wait = Max(result.longest_wait, wait);
     if (outcome.kind == TokenOutcomeKind::kGranted) {
       result.runs.push_back(now_);
+      waits_.push_back(static_cast<float>(wait.count));
       return;
     }
     ++(outcome.kind == TokenOutcomeKind::kAboveAllowance ? result.refused
@@ -383,6 +402,18 @@
     Drive(instance);
   }
 
+  Millis Delay(size_t a, size_t b) const {
+    const size_t from = DataCentreOf(a);
+    const size_t to = DataCentreOf(b);
+    if (from == to) return fleet_.local_delay;
+    return from % fleet_.regions == to % fleet_.regions ? fleet_.remote_delay
+                                                        : fleet_.region_delay;
+  }
+  void CountMessage(size_t from, size_t to) {
+    ++messages_;
+    if (DataCentreOf(from) != DataCentreOf(to)) ++remote_messages_;
+  }
+
   bool IsCut(size_t a, size_t b) {
     const size_t from = DataCentreOf(a);
     const size_t to = DataCentreOf(b);
@@ -391,11 +422,12 @@
 
   void Send(size_t from, const AllowanceMessage& message) {
     const size_t to = by_id_.at(message.to);
-    const bool is_remote = DataCentreOf(from) != DataCentreOf(to);
-    ++messages_;
-    if (is_remote) ++remote_messages_;
+    // One pool needs no loans.
+    if (!fleet_.is_one_pool || !message.request.accounts.empty()) {
+      CountMessage(from, to);
+    }
     if (IsCut(from, to)) return;
-    const Millis delay = is_remote ? fleet_.remote_delay : fleet_.local_delay;
+    const Millis delay = Delay(from, to);
     const uint64_t sender = instances_[from].process;
     const uint64_t receiver = instances_[to].process;
     if (receiver == 0) {
@@ -444,6 +476,7 @@
   uint64_t next_event_ = 0;
   uint64_t processes_ = 0;
   Millis now_{0};
+  std::vector<float> waits_;
   std::map<size_t, bool> cut_off_;
   double lost_replies_ = 0;
   size_t messages_ = 0;
