--- a/packages/engine/include/hibiscuspick/engine/server_view.h
+++ b/packages/engine/include/hibiscuspick/engine/server_view.h
@@ -12,6 +12,7 @@
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/pause_cycle.h"
+#include "hibiscuspick/engine/server_evidence.h"
 
 namespace hibiscuspick::engine {
 
@@ -75,6 +76,8 @@
   Millis failure_rate_at;
   // Average time between two outcomes.
   Millis outcome_interval;
+  // Outcomes of all senders; only maintained where they are exchanged.
+  ServerEvidence evidence;
 };
 
 // For the origin of each value see docs/notes/platform.md.
@@ -111,6 +114,8 @@
   std::optional<int> cold_allowance;
   // The pause cycle of servers of this kind; null if pauses aren't predicted.
   const PauseCycle* pause_cycle = nullptr;
+  // How the servers' evidence is used; inactive where none is exchanged.
+  EvidencePrior evidence;
   // Feature switches, see settings::Mechanisms.
   bool use_relative_latency = true;
   bool adaptive_limit = true;
--- a/packages/engine/src/server_view.cc
+++ b/packages/engine/src/server_view.cc
@@ -132,13 +132,24 @@
 Millis ExpectedCost(const ServerView& server, const ChoicePolicy& policy,
                     Millis median_latency, Millis now) {
   const double queued = 1 + static_cast<double>(server.open_attempts.size());
-  Millis cost =
-      median_latency * (queued * RelativeLatency(server, policy, now));
+  double latency = RelativeLatency(server, policy, now);
+  double failure_rate = FailureRate(server, policy, now);
+  double failure_cost = policy.failure_cost;
+  if (policy.evidence.active) {
+    latency = std::max(latency, OthersLatency(server.evidence,
+                                              server.relative_latency_at, now));
+    failure_rate =
+        std::max(failure_rate,
+                 SuspectedFailureRate(server.evidence, policy.evidence, now));
+    if (policy.evidence.mass_event) {
+      failure_cost = policy.unbudgeted_failure_cost;
+    }
+  }
+  Millis cost = median_latency * (queued * latency);
   if (server.entry.data_centre != policy.own_data_centre) {
     cost += policy.remote_cost;
   }
-  cost +=
-      median_latency * (policy.failure_cost * FailureRate(server, policy, now));
+  cost += median_latency * (failure_cost * failure_rate);
   if (policy.pause_cycle != nullptr) {
     cost += ExpectedPauseDelay(server.pauses, *policy.pause_cycle,
                                median_latency, now);
