--- a/packages/edge/src/backends_evidence.cc
+++ b/packages/edge/src/backends_evidence.cc
@@ -108,13 +108,15 @@
   constexpr int kFirstServerError = 500;
   constexpr int kUnavailable = 503;
   const int status = result.reply.status;
-  if (result.end != AttemptEnd::kReply) {
-    RecordEvidence(result, EvidenceOutcome::kLost, 0);
-  } else if (status == kUnavailable || status == kTooManyRequests) {
-    RecordEvidence(result, EvidenceOutcome::kRefused, 0);
-  } else if (status >= kFirstServerError) {
-    RecordEvidence(result, EvidenceOutcome::kLost, 0);
+  const bool has_reply = result.end == AttemptEnd::kReply;
+  // Other errors are the request's fault.
+  if (has_reply && status != kTooManyRequests && status < kFirstServerError) {
+    return;
   }
+  const bool refused =
+      has_reply && (status == kUnavailable || status == kTooManyRequests);
+  RecordEvidence(
+      result, refused ? EvidenceOutcome::kRefused : EvidenceOutcome::kLost, 0);
 }
 
 void Backends::RecordIfOverdue(const Attempt& attempt) {
--- a/packages/edge/src/evidence_exchange.cc
+++ b/packages/edge/src/evidence_exchange.cc
@@ -187,8 +187,8 @@
   HttpChannel::Exchange exchange;
   exchange.text = text;
   exchange.max_reply_bytes = kMaxReplyBytes;
-  exchange.on_reply = [this, id, number = peer.message](ExchangeEnd end,
-                                                        HttpReply reply) {
+  exchange.on_reply = [this, id, number = peer.message](
+                          ExchangeEnd end, const HttpReply& reply) {
     Finish(id, number, end == ExchangeEnd::kReply, reply);
   };
   peer.channel->Send(std::move(exchange));
