--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -142,7 +142,7 @@
 }
 
 std::optional<StartedAttempt> Backends::TryStart(AttemptSpec spec) {
-  Server* chosen = ChooseServer(spec);
+  Server* chosen = ChooseServer(spec, true);
   if (chosen == nullptr) return std::nullopt;
   const auto server = chosen->shared_from_this();
   const AttemptId id(++last_attempt_id_);
@@ -306,6 +306,7 @@
   }
   if (attempt.channel && attempt.was_sent) attempt.channel->Close();
   SuspectIfSilent(attempt.server, attempt.sent_at);
+  RecordIfOverdue(attempt);
   EndAttempt(id, AttemptEnd::kBroken, {});
 }
 
@@ -322,6 +323,7 @@
 }
 
 void Backends::RecordFailure(const AttemptResult& result) {
+  RecordFailureEvidence(result);
   engine::RecordFailure(result.view.get(), result.id, policy_.choice,
                         loop_->now());
 }
@@ -336,6 +338,8 @@
 }
 
 void Backends::RecordReply(const AttemptResult& result, Millis median_latency) {
+  RecordEvidence(result, engine::EvidenceOutcome::kAnswered,
+                 result.latency.count / std::max(median_latency.count, 0.1));
   engine::RecordReply(result.view.get(), result.id, result.latency,
                       median_latency, policy_.choice, loop_->now());
   auto* server = result.view.get();
--- a/packages/edge/src/backends_choice.cc
+++ b/packages/edge/src/backends_choice.cc
@@ -7,7 +7,8 @@
 
 namespace hibiscuspick::edge {
 
-Backends::Server* Backends::ChooseServer(const AttemptSpec& spec) {
+Backends::Server* Backends::ChooseServer(const AttemptSpec& spec,
+                                         bool may_probe) {
   auto& state = StateOf(spec.service);
   const Millis now = loop_->now();
   static const engine::AllowedDataCentres unrestricted;
@@ -20,6 +21,7 @@
   choice.cold_allowance = state.share.cold_allowance;
   JoinPauseCycle(&state, spec.budget_service);
   choice.pause_cycle = state.pause_cycle.get();
+  choice.evidence = PriorOf(state);
   if (policy_.mechanisms.failing_server_penalty &&
       !HasExtraAttempt(spec.budget_service, engine::kUrgentReserve)) {
     choice.failure_cost = choice.unbudgeted_failure_cost;
@@ -47,6 +49,9 @@
     (has_refused ? refusing_views : views).push_back(&view);
     (has_refused ? refusing : servers).push_back(server);
   }
+  if (may_probe) {
+    if (Server* probed = ChooseProbe(spec, servers, choice)) return probed;
+  }
   const auto best =
       engine::ChooseServer(views, choice, spec.median_latency, now);
   if (best) return servers[*best];
@@ -65,7 +70,7 @@
 
 std::optional<DataCentreId> Backends::DataCentreOfChoice(
     const AttemptSpec& spec) {
-  const Server* chosen = ChooseServer(spec);
+  const Server* chosen = ChooseServer(spec, false);
   if (chosen == nullptr) return std::nullopt;
   return chosen->view.entry.data_centre;
 }
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -42,6 +42,8 @@
     OnAllowanceMessage(session, request);
     return;
   }
+  // A caller's request with the same path has the forwarding headers.
+  if (!forwarded && evidence_.HandleMessage(session, request)) return;
   if (forwarded && !forwarded->remainder.token.empty()) {
     OnRemainderRequested(session, *forwarded);
     return;
--- a/packages/settings/include/hibiscuspick/settings/mechanisms.h
+++ b/packages/settings/include/hibiscuspick/settings/mechanisms.h
@@ -53,6 +53,8 @@
   bool relay_remote_choices = true;
   // Concentrates the sending of fan-outs on a few instances.
   bool primary_senders = true;
+  // Exchanges evidence about servers among the senders of fan-outs.
+  bool evidence_exchange = true;
   // Ends abandoned attempts at once if others are waiting.
   bool preempt_abandoned = true;
   // Holds requests that arrive before the configuration is loaded.
@@ -91,6 +93,7 @@
     MechanismName{"relays", &Mechanisms::relays},
     MechanismName{"relay_remote_choices", &Mechanisms::relay_remote_choices},
     MechanismName{"few_senders", &Mechanisms::primary_senders},
+    MechanismName{"evidence_exchange", &Mechanisms::evidence_exchange},
     MechanismName{"room_from_abandoned", &Mechanisms::preempt_abandoned},
     MechanismName{"early_requests", &Mechanisms::early_request_queue},
     MechanismName{"answer_lag", &Mechanisms::answer_lag_compensation},
