Allowances: requests above the allowance wait less, Retry-After more often true

Requests waited 250 ms for an exchange or for a token of a retry, and were then told a time that nobody had reserved. Change: no request waits if no data centre gave all that it was asked for in the last 300 ms; retries wait 20 ms and only while few return; who has waited too long is told the next free place.

--- a/packages/engine/include/hibiscuspick/engine/allowance_pool.h
+++ b/packages/engine/include/hibiscuspick/engine/allowance_pool.h
@@ -97,10 +97,12 @@
   // Whether the account is in AllowancePools::short_accounts.
   bool is_short = false;
   // The current round of messages to the other data centres: those without a
-  // reply, tokens asked for, and tokens that came.
+  // reply, tokens asked for, tokens that came, and whether any data centre gave
+  // all that it was asked for.
   int round_in_flight = 0;
   double round_asked = 0;
   double round_given = 0;
+  bool round_has_full = false;
   // The part of the tokens asked for that each data centre gave lately.
   std::map<DataCentreId, double> yields;
   // The other data centres had too few tokens: until then no request waits for
--- a/packages/engine/src/allowance_exchange.cc
+++ b/packages/engine/src/allowance_exchange.cc
@@ -26,7 +26,9 @@
 // nearly nothing.
 constexpr Millis kMaxAskInterval{300};
 constexpr double kNothing = 0.05;
-// Part of the tokens asked for that must come for requests to wait for more.
+// A data centre that gave this part of what it was asked for may have more.
+constexpr double kFullYield = 0.95;
+// With less of the tokens asked for than this, the others are asked later.
 constexpr double kMinYield = 0.25;
 constexpr double kYieldWeight = 0.5;
 // A data centre that gave nothing is asked for a little still, since it may
@@ -97,8 +99,8 @@
                            ? Min(pool->ask_interval * 2, kMaxAskInterval)
                            : kExchangeInterval;
   pool->ask_from = now;
+  if (!pool->round_has_full) pool->dry_until = now + kDryTime;
   if (pool->round_given < kMinYield * pool->round_asked) {
-    pool->dry_until = now + kDryTime;
     pool->ask_from = now + pool->ask_interval;
     pool->yields.clear();
   }
@@ -130,6 +132,8 @@
       }
     }
     pool->second.round_given += given;
+    pool->second.round_has_full =
+        pool->second.round_has_full || given >= kFullYield * asked.wanted;
     auto& yield =
         pool->second.yields.try_emplace(exchange->second.data_centre, 1)
             .first->second;
@@ -178,6 +182,7 @@
   pool.round_in_flight = static_cast<int>(targets.size());
   pool.round_asked = need;
   pool.round_given = 0;
+  pool.round_has_full = false;
   for (const auto& it : targets) {
     auto& exchange = (*messages)[*it.instance];
     exchange.data_centre = it.data_centre;
--- a/packages/engine/src/allowance_lease.cc
+++ b/packages/engine/src/allowance_lease.cc
@@ -99,6 +99,7 @@
 void AskAgain(AllowanceLeases* leases, AccountLeases* state,
               const TokenGrant& grant, uint64_t sequence, Millis now) {
   state->ask_at = now + grant.ask_again;
+  Millis retry_after = grant.retry_after;
   for (auto it = state->waiting.begin(); it != state->waiting.end();) {
     if (it->asked_in != sequence) {
       ++it;
@@ -110,7 +111,8 @@
       continue;
     }
     leases->outcomes.push_back({TokenOutcomeKind::kAboveAllowance, it->ticket,
-                                grant.retry_after, Millis(0)});
+                                retry_after, Millis(0)});
+    retry_after += grant.retry_spacing;
     it = state->waiting.erase(it);
   }
 }
--- a/packages/engine/src/allowance_pool.cc
+++ b/packages/engine/src/allowance_pool.cc
@@ -17,8 +17,9 @@
 constexpr Millis kPlaceLead{30};
 // Tokens that are reserved for others make the time until the next one 0.
 constexpr Millis kMinRetryAfter{5};
-// A retry waits for a token that comes within this time.
-constexpr Millis kRetryWait{60};
+// A retry waits for a token that comes within this time, unless many callers
+// return: they would wait for each other's tokens.
+constexpr Millis kRetryWait{20};
 // Instances refuse by themselves for at most this time, since places that
 // nobody takes become free.
 constexpr Millis kMaxRefuseTime{250};
@@ -231,7 +232,9 @@
       WaitForExchange(pools, request.account, pool, refused, now);
   if (wait > Millis(0)) {
     grant->ask_again = wait;
-  } else if (request.for_retries > grant->tokens) {
+  } else if (request.for_retries > grant->tokens &&
+             pool->places.size() <
+                 2 * static_cast<size_t>(request.for_retries)) {
     const double missing = request.for_retries - grant->tokens - pool->tokens;
     const Millis until_token =
         Millis(missing * 1000 / ExpectedRefill(*pool, now));
@@ -240,8 +243,8 @@
     }
   }
   if (grant->ask_again > Millis(0)) {
-    grant->retry_after = Millis(1000 / ExpectedRefill(*pool, now));
-    grant->retry_spacing = grant->retry_after;
+    // For those that have waited too long already.
+    GivePlaces(pool, 0, now, grant);
     return;
   }
   GivePlaces(pool, refused, now, grant);
--- a/packages/engine/tests/allowance_alternatives_test.cc
+++ b/packages/engine/tests/allowance_alternatives_test.cc
@@ -61,7 +61,7 @@
               bool) override {
     auto* state = Settled(account, instance);
     AddToRate(&state->demand, &state->demand_at, 1, now_, kDemandTime);
-    Try({account, now_, retry_within}, instance, 0);
+    Try({account, now_, retry_within, false}, instance, 0);
   }
 
   void Try(const Waiting& request, size_t instance, int round) {
--- a/packages/engine/tests/allowance_simulation.h
+++ b/packages/engine/tests/allowance_simulation.h
@@ -42,6 +42,9 @@
   size_t arrived = 0;
   size_t refused = 0;
   size_t unanswered = 0;
+  // Callers that returned after a refusal, and those of them that ran then.
+  size_t retries = 0;
+  size_t retries_ran = 0;
   // When requests ran, in order.
   std::vector<Millis> runs;
   // Requests that an ideal token bucket with all requests would admit.
@@ -122,6 +125,7 @@
                bool is_retry = false) {
     auto& result = results_[account];
     ++result.arrived;
+    if (is_retry) ++result.retries;
     CountIdeal(account);
     auto& it = instances_[instance];
     if (now_ < it.up_at) {
@@ -245,6 +249,7 @@
     size_t account;
     Millis since;
     Millis retry_within;
+    bool is_retry = false;
   };
   struct Instance {
     uint64_t process = 0;
@@ -321,9 +326,9 @@
         RequestToken(&it.leases, IdOf(account),
                      accounts_->accounts[account].allowance, is_retry, now_);
     if (outcome.kind == TokenOutcomeKind::kWaiting) {
-      it.waiting[outcome.ticket] = {account, now_, retry_within};
+      it.waiting[outcome.ticket] = {account, now_, retry_within, is_retry};
     } else {
-      Finish({account, now_, retry_within}, outcome);
+      Finish({account, now_, retry_within, is_retry}, outcome);
     }
     Drive(instance);
   }
@@ -335,6 +340,7 @@
     result.longest_wait = Max(result.longest_wait, wait);
     if (outcome.kind == TokenOutcomeKind::kGranted) {
       result.runs.push_back(now_);
+      if (request.is_retry) ++result.retries_ran;
       waits_.push_back(static_cast<float>(wait.count));
       return;
     }
--- a/packages/engine/tests/allowance_simulation_test.cc
+++ b/packages/engine/tests/allowance_simulation_test.cc
@@ -87,5 +87,34 @@
   }
 }
 
+// A Retry-After at whose time there is no token sends callers away twice.
+BOOST_AUTO_TEST_CASE(CallersThatReturnOnTimeRun) {
+  for (const double load : {1.2, 3.0}) {
+    AllowanceSimulation simulation(SimulatedFleet(), kAllowances);
+    for (size_t i = 0; i < kAllowances.size(); ++i) {
+      simulation.Load(i, load * kAllowances[i].rate_per_second, kWarm, kEnd,
+                      simulation.AnyInstance(), false, Millis(700));
+    }
+    simulation.RunUntil(kEnd + Millis(1000));
+    size_t retries = 0;
+    size_t ran = 0;
+    for (size_t i = 0; i < kAllowances.size(); ++i) {
+      const auto& result = simulation.Result(i);
+      retries += result.retries;
+      ran += result.retries_ran;
+      BOOST_TEST_MESSAGE("load " << load << ", rate "
+                                 << kAllowances[i].rate_per_second << ": "
+                                 << result.retries << " returned, "
+                                 << result.retries_ran << " ran");
+      BOOST_TEST(simulation.LargestBoundUse(i) <= 1);
+    }
+    // Instances tell times without a place to those that they refuse by
+    // themselves, so not all find a token.
+    const double least = load < 2 ? 0.8 : 0.6;
+    BOOST_TEST(static_cast<double>(ran) >=
+               least * static_cast<double>(retries));
+  }
+}
+
 }  // namespace
 }  // namespace hibiscuspick::engine
