--- a/packages/engine/tests/allowance_simulation_test.cc
+++ b/packages/engine/tests/allowance_simulation_test.cc
@@ -53,38 +53,48 @@
   return simulation->AnyInstanceOf((number + moved) % 3)();
 }
 
+// Plays all accounts at `load` times their rates and checks the bound and that
+// 99 in 100 of what an ideal bucket admits is admitted.
+void CheckAdmission(double load, Entry entry) {
+  AllowanceSimulation simulation(SimulatedFleet(), kAllowances);
+  for (size_t i = 0; i < kAllowances.size(); ++i) {
+    simulation.Load(i, load * kAllowances[i].rate_per_second, kWarm, kEnd,
+                    [&] { return ChooseEntry(&simulation, entry); });
+  }
+  simulation.RunUntil(kEnd + Millis(1000));
+  BOOST_TEST_MESSAGE(
+      "load " << load << ", entry " << static_cast<int>(entry) << ": "
+              << simulation.messages() / 27 << " messages per second, "
+              << simulation.remote_messages() / 27 << " to other data centres");
+  for (size_t i = 0; i < kAllowances.size(); ++i) {
+    Report("  ", simulation, i);
+    BOOST_TEST(simulation.LargestBoundUse(i) <= 1);
+    BOOST_TEST(simulation.Admitted(i) >= 0.99);
+    BOOST_TEST(simulation.Result(i).unanswered == 0);
+    if (load <= 1) BOOST_TEST(simulation.Result(i).longest_wait.count <= 260);
+  }
+}
+
 // Admits too little or too much depending on where requests enter: at one
 // instance, in one data centre, everywhere, or moving within a second. Above
 // the allowance an account must still get its rate.
 BOOST_AUTO_TEST_CASE(AllowanceIsMetWhereverRequestsEnter) {
-  for (const double load : {0.6, 0.95, 1.0, 3.0}) {
+  for (const double load : {0.6, 0.95, 1.0}) {
     for (const auto entry : {Entry::kOneInstance, Entry::kOneDataCentre,
                              Entry::kAll, Entry::kMoving}) {
-      AllowanceSimulation simulation(SimulatedFleet(), kAllowances);
-      for (size_t i = 0; i < kAllowances.size(); ++i) {
-        simulation.Load(i, load * kAllowances[i].rate_per_second, kWarm, kEnd,
-                        [&] { return ChooseEntry(&simulation, entry); });
-      }
-      simulation.RunUntil(kEnd + Millis(1000));
-      BOOST_TEST_MESSAGE(
-          "load " << load << ", entry " << static_cast<int>(entry) << ": "
-                  << simulation.messages() / 27 << " messages per second, "
-                  << simulation.remote_messages() / 27
-                  << " to other data centres");
-      // While an account above its allowance moves, the pools that it has left
-      // are full for a moment and lose their refill.
-      const double least = load > 1 && entry == Entry::kMoving ? 0.8 : 0.99;
-      for (size_t i = 0; i < kAllowances.size(); ++i) {
-        Report("  ", simulation, i);
-        BOOST_TEST(simulation.LargestBoundUse(i) <= 1);
-        BOOST_TEST(simulation.Admitted(i) >= least);
-        BOOST_TEST(simulation.Result(i).unanswered == 0);
-        if (load <= 1) {
-          BOOST_TEST(simulation.Result(i).longest_wait.count <= 260);
-        }
-      }
+      CheckAdmission(load, entry);
     }
   }
+  for (const auto entry :
+       {Entry::kOneInstance, Entry::kOneDataCentre, Entry::kAll}) {
+    CheckAdmission(3, entry);
+  }
+}
+
+// While an account above its allowance moves, the pools that it has left are
+// full for a moment and lose their refill.
+BOOST_AUTO_TEST_CASE(AllowanceIsMetWhileOverloadMoves) {
+  CheckAdmission(3, Entry::kMoving);
 }
 
 // A Retry-After at whose time there is no token sends callers away twice.
@@ -108,11 +118,11 @@
                                  << result.retries_ran << " ran");
       BOOST_TEST(simulation.LargestBoundUse(i) <= 1);
     }
-    // Instances tell times without a place to those that they refuse by
-    // themselves, so not all find a token.
-    const double least = load < 2 ? 0.8 : 0.6;
+    // A Retry-After is true if nine in ten of those who keep to it run: some
+    // lose their place to replies that are lost or late.
+    constexpr double kLeastRan = 0.9;
     BOOST_TEST(static_cast<double>(ran) >=
-               least * static_cast<double>(retries));
+               kLeastRan * static_cast<double>(retries));
   }
 }
 
