--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -297,7 +297,9 @@
     Advance();
     return;
   }
-  if (IsRefusal(result)) {
+  // The budget allows a fan-out about one extra attempt in a hundred parts, so
+  // that to it a server that refuses is as bad as one that fails.
+  if (IsRefusal(result) && !route_->gather) {
     backends.RecordRefusal(result);
   } else {
     backends.RecordFailure(result);
