--- a/packages/edge/include/hibiscuspick/edge/account_allowances.h
+++ b/packages/edge/include/hibiscuspick/edge/account_allowances.h
@@ -39,9 +39,10 @@
     bool active = true;
   };
 
-  AccountAllowances(Loop* loop, Settings settings)
+  AccountAllowances(Loop* loop, Settings settings,
+                    const ByteCounters* remote_bytes)
       : settings_(std::move(settings)),
-        messages_(loop),
+        messages_(loop, settings_.data_centre, remote_bytes),
         server_(loop, &messages_),
         client_(loop, &messages_, &server_) {}
 
--- a/packages/edge/include/hibiscuspick/edge/evidence_exchange.h
+++ b/packages/edge/include/hibiscuspick/edge/evidence_exchange.h
@@ -20,9 +20,10 @@
 
 class EvidenceExchange {
  public:
+  // `remote_bytes` counts the bytes of messages to other data centres.
   // `enabled`: the mechanism switch; see settings::Mechanisms.
   EvidenceExchange(Loop* loop, Backends* backends, metrics::Registry* registry,
-                   bool enabled);
+                   const ByteCounters* remote_bytes, bool enabled);
   ~EvidenceExchange();
   EvidenceExchange(const EvidenceExchange&) = delete;
   EvidenceExchange& operator=(const EvidenceExchange&) = delete;
@@ -65,9 +66,11 @@
   Loop* const loop_;
   Backends* const backends_;
   const bool enabled_;
+  const ByteCounters* const remote_bytes_;
   metrics::Counter* const sent_bytes_;
   metrics::Counter* const received_bytes_;
   engine::EvidenceOrigin own_;
+  DataCentreId own_data_centre_;
   std::map<InstanceId, PeerState> peers_;
   Loop::TimerId timer_ = 0;
   double byte_budget_;
--- a/packages/edge/include/hibiscuspick/edge/peer_messages.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_messages.h
@@ -14,6 +14,7 @@
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
+#include "hibiscuspick/edge/remote_traffic.h"
 #include "hibiscuspick/engine/peers.h"
 
 namespace hibiscuspick::edge {
@@ -23,7 +24,13 @@
   // The reply's body; nullopt if there was no valid reply in time.
   using OnReply = std::function<void(const std::optional<std::string>&)>;
 
-  explicit PeerMessages(Loop* loop) : loop_(loop) {}
+  // `remote_bytes` counts the bytes of messages to peers outside of the own
+  // data centre.
+  PeerMessages(Loop* loop, DataCentreId own_data_centre,
+               const ByteCounters* remote_bytes)
+      : loop_(loop),
+        own_data_centre_(std::move(own_data_centre)),
+        remote_bytes_(remote_bytes) {}
   ~PeerMessages();
   PeerMessages(const PeerMessages&) = delete;
   PeerMessages& operator=(const PeerMessages&) = delete;
@@ -46,7 +53,9 @@
               const std::optional<std::string>& body);
 
   Loop* const loop_;
-  std::map<InstanceId, Address> addresses_;
+  const DataCentreId own_data_centre_;
+  const ByteCounters* const remote_bytes_;
+  std::map<InstanceId, engine::Peer> peers_;
   std::map<InstanceId, std::vector<std::shared_ptr<HttpChannel>>>
       idle_channels_;
   std::unordered_set<std::shared_ptr<Message>> in_flight_;
--- a/packages/edge/src/evidence_exchange.cc
+++ b/packages/edge/src/evidence_exchange.cc
@@ -37,10 +37,13 @@
 }  // namespace
 
 EvidenceExchange::EvidenceExchange(Loop* loop, Backends* backends,
-                                   metrics::Registry* registry, bool enabled)
+                                   metrics::Registry* registry,
+                                   const ByteCounters* remote_bytes,
+                                   bool enabled)
     : loop_(loop),
       backends_(backends),
       enabled_(enabled),
+      remote_bytes_(remote_bytes),
       sent_bytes_(&registry->GetCounter(
           "hibiscuspick_edge_evidence_bytes_total",
           "Bytes of evidence about servers, exchanged among senders",
@@ -64,6 +67,7 @@
 void EvidenceExchange::SetPeers(const engine::Peer& own,
                                 const std::vector<engine::Peer>& senders) {
   own_.sender = own.id;
+  own_data_centre_ = own.data_centre;
   const bool is_sender = std::any_of(senders.begin(), senders.end(),
                                      [&](auto& it) { return it.id == own.id; });
   const bool active = enabled_ && is_sender && senders.size() >= 2;
@@ -168,6 +172,9 @@
   }
   if (peer.channel) peer.channel->Close();
   peer.channel = std::make_shared<HttpChannel>(loop_);
+  if (peer.peer.data_centre != own_data_centre_) {
+    peer.channel->set_byte_counters(remote_bytes_);
+  }
   peer.channel->Connect(
       peer.peer.query_address, kConnectTimeout,
       [this, id, text, number = peer.message](bool ok) {
--- a/packages/edge/src/peer_messages.cc
+++ b/packages/edge/src/peer_messages.cc
@@ -38,19 +38,19 @@
 }
 
 void PeerMessages::SetPeers(const std::vector<engine::Peer>& peers) {
-  std::map<InstanceId, Address> addresses;
-  for (const auto& it : peers) addresses[it.id] = it.query_address;
+  std::map<InstanceId, engine::Peer> present;
+  for (const auto& it : peers) present[it.id] = it;
   std::erase_if(idle_channels_, [&](const auto& it) {
-    const auto now = addresses.find(it.first);
-    const auto before = addresses_.find(it.first);
-    if (now != addresses.end() && before != addresses_.end() &&
-        now->second == before->second) {
+    const auto now = present.find(it.first);
+    const auto before = peers_.find(it.first);
+    if (now != present.end() && before != peers_.end() &&
+        now->second.query_address == before->second.query_address) {
       return false;
     }
     for (const auto& channel : it.second) channel->Close();
     return true;
   });
-  addresses_ = std::move(addresses);
+  peers_ = std::move(present);
 }
 
 std::shared_ptr<HttpChannel> PeerMessages::TakeIdleChannel(
@@ -72,15 +72,15 @@
 
 void PeerMessages::Send(const InstanceId& to, std::string_view path,
                         std::string body, Millis timeout, OnReply on_reply) {
-  const auto address = addresses_.find(to);
-  if (address == addresses_.end() || InFlightTo(to) >= kMaxInFlightPerPeer) {
+  const auto peer = peers_.find(to);
+  if (peer == peers_.end() || InFlightTo(to) >= kMaxInFlightPerPeer) {
     loop_->Post([on_reply = std::move(on_reply)] { on_reply(std::nullopt); });
     return;
   }
   HttpRequest request;
   request.method = "POST";
   request.target = path;
-  request.headers = {{"Host", ToText(address->second)},
+  request.headers = {{"Host", ToText(peer->second.query_address)},
                      {"Content-Type", "application/json"}};
   request.body = std::move(body);
   const auto message = std::make_shared<Message>();
@@ -98,8 +98,11 @@
     return;
   }
   message->channel = std::make_shared<HttpChannel>(loop_);
+  if (peer->second.data_centre != own_data_centre_) {
+    message->channel->set_byte_counters(remote_bytes_);
+  }
   message->channel->Connect(
-      address->second, timeout,
+      peer->second.query_address, timeout,
       [this, message, channel = message->channel](bool ok) {
         if (!message->on_reply) {
           channel->Close();
@@ -127,7 +130,7 @@
   loop_->Cancel(std::exchange(message->timer, 0));
   in_flight_.erase(message);
   const auto channel = std::exchange(message->channel, nullptr);
-  if (channel->IsIdle() && addresses_.contains(message->to)) {
+  if (channel->IsIdle() && peers_.contains(message->to)) {
     idle_channels_[message->to].push_back(channel);
   } else {
     channel->Close();
