--- a/packages/engine/src/allowance_pool.cc
+++ b/packages/engine/src/allowance_pool.cc
@@ -24,8 +24,8 @@
 // nobody takes become free.
 constexpr Millis kMaxRefuseTime{250};
 // The part of the capacity that places reserve, and that may fill up while
-// instances refuse by themselves. A token kept for a caller that returns refuses
-// a new request that would have been served at once.
+// instances refuse by themselves. A token kept for a caller that returns
+// refuses a new request that would have been served at once.
 constexpr double kReservedPart = 0.1;
 // Sums of fractions are slightly below the integer that they stand for.
 constexpr double kRounding = 1e-6;
