--- a/packages/edge/include/hibiscuspick/edge/peer_messages.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_messages.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
