--- a/packages/edge/src/evidence_exchange.cc
+++ b/packages/edge/src/evidence_exchange.cc
@@ -54,7 +54,7 @@
           {{"direction", "received"}})),
       byte_budget_(kMaxByteBudget),
       budget_at_(SteadyNow()) {
-  own_.life = static_cast<uint64_t>(WallNow().count);
+  own_.incarnation = static_cast<uint64_t>(WallNow().count);
 }
 
 EvidenceExchange::~EvidenceExchange() {
--- a/packages/edge/src/evidence_wire.cc
+++ b/packages/edge/src/evidence_wire.cc
@@ -43,7 +43,7 @@
 
 bool ParseOrigin(std::string_view line, OriginLine* out) {
   line.remove_prefix(kOriginPrefix.size());
-  if (!TakeNumber(&line, kHex, &out->origin.life) ||
+  if (!TakeNumber(&line, kHex, &out->origin.incarnation) ||
       !TakeNumber(&line, kDecimal, &out->clock_ms) || out->clock_ms < 0 ||
       line.empty()) {
     return false;
@@ -90,8 +90,9 @@
           engine::kEvidenceSlice * static_cast<double>(it.slice + 1);
       const Millis clock = it.origin == own ? now : end + it.age;
       line = {it.origin, static_cast<int64_t>(clock.count)};
-      text += fmt::format("{}{:x} {} {}\n", kOriginPrefix, line->origin.life,
-                          line->clock_ms, line->origin.sender.text);
+      text +=
+          fmt::format("{}{:x} {} {}\n", kOriginPrefix, line->origin.incarnation,
+                      line->clock_ms, line->origin.sender.text);
     }
     text += fmt::format("{:x} {} {} {} {} {} {}\n", it.server,
                         SliceAt(line->clock_ms) - it.slice, it.counts.answered,
--- a/packages/engine/include/hibiscuspick/engine/server_evidence.h
+++ b/packages/engine/include/hibiscuspick/engine/server_evidence.h
@@ -51,10 +51,10 @@
 
 uint32_t BadCount(const EvidenceCounts& counts);
 
-// One life of a sender. Each life numbers its slices by its own steady clock.
+// One run of a sender process. Each numbers its slices by its own steady clock.
 struct EvidenceOrigin {
   InstanceId sender;
-  uint64_t life = 0;
+  uint64_t incarnation = 0;
   auto operator<=>(const EvidenceOrigin&) const = default;
 };
 
--- a/packages/engine/tests/server_evidence_test.cc
+++ b/packages/engine/tests/server_evidence_test.cc
@@ -39,7 +39,7 @@
              boost::test_tools::tolerance(0.02));
   // A restarted sender numbers its slices anew.
   auto restarted = Report(7, 1, 0);
-  restarted.origin.life = 2;
+  restarted.origin.incarnation = 2;
   BOOST_TEST(MergeReport(&repeated, restarted, kNow));
 }
 
