--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -61,6 +61,8 @@
   bool HasEnded() { return stream_->HasInput(); }
   // Time of the last reply, or of the connect if there was none.
   Millis idle_since() const { return idle_since_; }
+  // Bytes received since the last request was sent.
+  size_t reply_bytes() const { return reply_bytes_; }
   // Closes the connection. A request in flight gets no callback.
   void Close();
 
@@ -77,6 +79,7 @@
   Exchange exchange_;
   Millis idle_since_;
   size_t written_before_ = 0;
+  size_t reply_bytes_ = 0;
   const ByteCounters* byte_counters_ = nullptr;
   bool open_ = false;
   bool busy_ = false;
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -32,6 +32,7 @@
   reader_ = std::make_unique<ReplyReader>(exchange_.is_head,
                                           exchange_.max_reply_bytes);
   written_before_ = stream_->bytes_written();
+  reply_bytes_ = 0;
   if (byte_counters_) byte_counters_->sent->Add(exchange_.text.size());
   stream_->Write(std::exchange(exchange_.text, std::string()));
 }
@@ -41,6 +42,7 @@
     Close();
     return;
   }
+  reply_bytes_ += bytes.size();
   if (byte_counters_) byte_counters_->received->Add(bytes.size());
   buffer_.append(bytes);
   while (busy_ && !buffer_.empty() && ParseReply()) {
