Transfers of state are limited by their progress, not by their total time

Cause: a poll of a peer had to be answered in full within 1.2 s, a list within 1 s and a watch within 0.4 s of its wait, whatever the size of the reply. A configuration of 700 KB that shares a link of 20 Mbit/s with four others needs longer; it was thrown away at the limit and requested again elsewhere, for ever, and its traffic delayed everything else on the link.

The first bytes of a reply are due as before; then the exchange runs while bytes arrive (0.5 s without any ends it, ten seconds at most), for polls of peers and calls to the store.

Ruled out: a longer fixed limit, since a silent peer would be detected later and a larger configuration, or one more poll, exceeds it again.

--- a/packages/engine/include/hibiscuspick/engine/store_retry.h
+++ b/packages/engine/include/hibiscuspick/engine/store_retry.h
@@ -33,6 +33,15 @@
 
 inline constexpr Millis kListTimeout{1000};
 
+// A reply that has begun to arrive is abandoned when nothing more of it has
+// arrived for this long, or for up to twice as long, since progress is checked
+// at this interval.
+inline constexpr Millis kTransferStallTimeout{500};
+
+// The longest time that a reply may take while it makes progress. A source that
+// sends very slowly would otherwise be kept for minutes.
+inline constexpr Millis kMaxTransferTime{10000};
+
 // The delay before the next call after this number of consecutive failures,
 // doubled for each. `jitter`, from 0.5 to 1.5, spreads out instances that
 // failed together. Refused calls put load on the store, so that their delays
--- a/packages/engine/src/store_retry.cc
+++ b/packages/engine/src/store_retry.cc
@@ -23,7 +23,9 @@
 }
 
 Millis MaxRecoveryTime() {
-  const Millis hang = Max(kFirstWatchWait + kWatchTimeoutMargin, kListTimeout);
+  const Millis silent =
+      Max(kFirstWatchWait + kWatchTimeoutMargin, kListTimeout);
+  const Millis hang = Max(silent, kTransferStallTimeout * 2);
   const Millis unreachable =
       Max(hang, kStoreConnectTimeout) + kMaxUnreachableDelay * kMaxJitter;
   return Max(unreachable, kMaxRefusedDelay * kMaxJitter);
