Watches of the servers wait 1.1 s, so that a dead connection is found in time

Ruled out: a shorter delay of removals, which empties services after an outage of the store; TCP keepalive, whose whole seconds find a dead connection after two at best; the same for the configuration, which is in force 3.6 s after its watch died.

--- a/packages/engine/include/hibiscuspick/engine/update_sources.h
+++ b/packages/engine/include/hibiscuspick/engine/update_sources.h
@@ -17,6 +17,12 @@
 // the request is detected at the end of this time.
 inline constexpr Millis kWatchWait{3000};
 
+// The longest wait of a watch of the servers. If its connection is dead without
+// a reset, this time, the retry and the delay of removals (directory.h) pass
+// until a server that has left gets no more requests; together they stay below
+// kRecoveryTimeLimit.
+inline constexpr Millis kServersWatchWait{1100};
+
 // How long a poll of a peer waits there if there is no update.
 inline constexpr Millis kPeerPollWait{700};
 
--- a/packages/engine/src/update_sources.cc
+++ b/packages/engine/src/update_sources.cc
@@ -114,7 +114,7 @@
 }
 
 Millis ServersWatchWait(std::optional<Millis> max_age) {
-  return ConfigWatchWait(max_age);
+  return Min(ConfigWatchWait(max_age), kServersWatchWait);
 }
 
 Millis UpdateAge(const UpdateState& state, Millis now) {
