--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -162,7 +162,10 @@
         self.world.store.remove("evacuations", place)
 
     async def fault_config(self, _hold):
-        self.write_config([f"n{self.version}"])
+        # Grows, so that later changes meet a large configuration.
+        self.bulk_routes = min(self.bulk_routes + 600, 2400)
+        bulk = [f"bulk-{i}" for i in range(self.bulk_routes)]
+        self.write_config([f"n{self.version}"] + bulk)
 
     async def fault_peer_link(self, hold):
         some = self.random.sample(self.daemons, self.random.randint(1, 3))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,6 +42,7 @@
         self.version = 0
         # (acknowledged at, version, names of its routes)
         self.configs = []
+        self.bulk_routes = 0
         self.calls = []
         self.broken = []
         self.faults = []
