--- a/packages/engine/tests/config_source_test.cc
+++ b/packages/engine/tests/config_source_test.cc
@@ -65,8 +65,7 @@
   BOOST_TEST((source ? source->peer.id.text : "") == choice.chosen);
 }
 
-// Failure: all instances of a data centre get the configuration from the same
-// peer, whose link is then the limit.
+// Failure: the link of one peer limits the transfers to a whole data centre.
 BOOST_AUTO_TEST_CASE(InstancesSpreadOverTheirSources) {
   const std::vector<ConfigAnnouncement> announced = {{MakePeer("p", "a"), 9},
                                                      {MakePeer("q", "a"), 9}};
@@ -91,8 +90,7 @@
   BOOST_TEST(last.count > 10000);
 }
 
-// Failure: the confirmation of a configuration that is only announced counts
-// for the older one that is held.
+// Failure: an old configuration counts as confirmed because of a newer one.
 BOOST_AUTO_TEST_CASE(AnnouncementsDoNotConfirmAnOlderConfiguration) {
   const std::vector<ConfigAnnouncement> announced = {
       {MakePeer("p", "a"), 7, Millis(100)},
--- a/packages/engine/tests/store_retry_test.cc
+++ b/packages/engine/tests/store_retry_test.cc
@@ -54,8 +54,7 @@
   BOOST_TEST(!directory.entries.contains(entry.id));
 }
 
-// Failure: the connection of a waiting watch is dead without a reset, and the
-// instance removes a server that has left only 5.8 s later.
+// Failure: after a silent loss of connection, servers that left get requests.
 BOOST_AUTO_TEST_CASE(SilentWatchLearnsOfRemovalsInTime) {
   constexpr double kMaxJitter = 1.5;
   const Millis detected = ServersWatchWait(std::nullopt) + kWatchTimeoutMargin;
