--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -95,6 +95,8 @@
   bool resets = false;
   // Sends nothing and waits until the peer closes.
   bool silent = false;
+  // Ends the server instead of replying; see RawServer::End.
+  bool ends = false;
   int wait_ms = 0;
 };
 
@@ -126,6 +128,15 @@
     stopping_ = true;
     shutdown(listener_, SHUT_RDWR);
   }
+  // Closes all connections without a reply and refuses new ones, as the end of
+  // a process does.
+  void End() {
+    ended_ = true;
+    StopAccepting();
+    const std::lock_guard lock(mutex_);
+    for (const int fd : open_) shutdown(fd, SHUT_RDWR);
+  }
+  bool has_ended() const { return ended_; }
   std::vector<std::string> requests() {
     const std::lock_guard lock(mutex_);
     return requests_;
@@ -162,6 +173,11 @@
       const ScriptedReply reply = script_(request);
       if (reply.wait_ms > 0)
         usleep(static_cast<useconds_t>(reply.wait_ms) * 1000);
+      if (reply.ends) {
+        End();
+        break;
+      }
+      if (ended_) break;
       if (reply.silent) {
         if (recv(fd, buf, sizeof(buf), 0) <= 0) ++abandoned_;
         break;
@@ -183,6 +199,7 @@
   int listener_ = -1;
   uint16_t port_ = 0;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> ended_{false};
   std::atomic<int> abandoned_{0};
   std::thread acceptor_;
   std::mutex mutex_;
