A server whose connection was lost is checked for its end

Cause: logs and metrics could not tell a server that ended with a request in progress from a connection that was lost; both are the end of a connection. A process that has ended refuses the next connection, one that runs accepts it (and the connection is kept for later requests, so that it costs nothing more), one that is cut off does neither. Ruled out as a sign: the kind of the connection's end, since a kernel closes a dead process's connections with a FIN or a reset depending on unread data; the store's entry, which lapses three reports later.

Malformed replies are told apart from lost connections. No decision depends on it yet. The records of engine/request_quarantine.h come with it and are not used.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -22,6 +22,7 @@
 #include "hibiscuspick/engine/cold_start.h"
 #include "hibiscuspick/engine/extra_attempt_budget.h"
 #include "hibiscuspick/engine/fan_out.h"
+#include "hibiscuspick/engine/request_quarantine.h"
 #include "hibiscuspick/engine/server_evidence.h"
 #include "hibiscuspick/engine/server_view.h"
 #include "hibiscuspick/settings/mechanisms.h"
@@ -35,6 +36,8 @@
   kNotSent,
   // The request was sent, but the connection broke or the reply was malformed.
   kBroken,
+  // AttemptSpec::may_send withdrew it before anything was sent.
+  kWithdrawn,
 };
 
 struct AttemptResult {
@@ -50,6 +53,14 @@
   Millis latency;
 };
 
+// What became of a server after an attempt's connection to it was lost.
+enum class ServerFate { kRunning, kEnded, kUnknown };
+struct ServerCheck {
+  ServerFate fate = ServerFate::kUnknown;
+  // No other request of this instance lost a connection to it at that time.
+  bool alone = false;
+};
+
 struct AttemptSpec {
   ServiceId service;
   // The service whose budget of extra attempts pays for a second attempt.
@@ -74,6 +85,11 @@
   // unlikely to have been closed by the server.
   bool not_idempotent = false;
   HttpChannel::ReplyFilter accepts_reply;
+  // Asked once the connection stands, if one had to be made; may be null.
+  std::function<bool(AttemptId)> may_send;
+  // Called before `on_end`, and also for an abandoned attempt, if the
+  // connection is lost after the request was sent; may be null.
+  std::function<void(const AttemptResult&)> on_connection_lost;
   std::function<void(AttemptResult)> on_end;
 };
 
@@ -218,6 +234,16 @@
   // Records the remaining warm-up time that the server reported.
   void RecordWarmup(const AttemptResult& result, Millis left);
 
+  // Finds out by a connection whether the server of an attempt whose connection
+  // was lost still runs. `request_id` tells requests apart. `done` is called
+  // later, within engine::kServerCheckTimeout.
+  void CheckServer(const AttemptResult& result, const std::string& request_id,
+                   std::function<void(const ServerCheck&)> done);
+  // Finds out by connections whether any of a few servers has ended that are
+  // not among `ends`, but of the same services or in the same data centres.
+  void CheckBystanders(const std::vector<engine::ServerEnd>& ends,
+                       std::function<void(bool)> done);
+
   // Whether evidence about servers is recorded and used: only while it is
   // exchanged with another sender.
   void SetEvidenceActive(bool active) { evidence_active_ = active; }
@@ -253,7 +279,14 @@
   void ConnectFor(const std::shared_ptr<Server>& server, AttemptId id);
   void SendOnChannel(const std::shared_ptr<HttpChannel>& channel, AttemptId id);
   void OnReply(AttemptId id, ExchangeEnd end, HttpReply reply);
-  void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply);
+  void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply,
+                  bool connection_lost = false);
+  static AttemptResult ResultOf(AttemptId id, const Attempt& attempt,
+                                AttemptEnd end, Millis now);
+  void FinishServerCheck(const std::shared_ptr<Server>& server,
+                         ServerFate fate);
+  std::vector<std::shared_ptr<Server>> ChooseBystanders(
+      const std::vector<engine::ServerEnd>& ends);
   void KeepChannel(const std::shared_ptr<Server>& server,
                    const std::shared_ptr<HttpChannel>& channel);
   bool IsEvacuated(const Server& server) const;
--- a/packages/edge/include/hibiscuspick/edge/byte_stream.h
+++ b/packages/edge/include/hibiscuspick/edge/byte_stream.h
@@ -41,6 +41,9 @@
   void Connect(const Address& address, Millis timeout,
                std::function<void(bool)> done);
 
+  // Whether the last Connect failed because nothing listens at the address.
+  bool was_refused() const { return was_refused_; }
+
   // Starts reading. The handlers are kept until Close.
   void Start(Handlers handlers);
 
@@ -79,6 +82,7 @@
   size_t bytes_written_ = 0;
   bool close_when_flushed_ = false;
   bool lingering_ = false;
+  bool was_refused_ = false;
   Loop::TimerId timer_ = 0;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -17,8 +17,10 @@
 enum class ExchangeEnd {
   // A complete reply arrived.
   kReply,
-  // The connection broke or the reply was malformed.
+  // The connection broke.
   kBroken,
+  // The reply was malformed; the connection was closed by this side.
+  kMalformed,
   // The connection broke before the kernel had accepted any byte of the
   // request.
   kUnsent,
@@ -54,6 +56,9 @@
   // counters must outlive the channel.
   void set_byte_counters(const ByteCounters* it) { byte_counters_ = it; }
 
+  // Whether the last Connect failed because nothing listens at the address.
+  bool was_refused() const { return stream_->was_refused(); }
+
   bool IsIdle() const { return open_ && !busy_; }
   // Whether the server has closed the idle connection, or sent something that
   // will close it, and the loop has not handled that yet. A request sent now
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -201,9 +201,14 @@
                        if (is_needed) EndAttempt(id, AttemptEnd::kNotSent, {});
                        return;
                      }
+                     const auto may_send =
+                         is_needed ? attempts_.at(id)->spec.may_send : nullptr;
                      if (is_needed && IsEvacuated(*server)) {
                        KeepChannel(server, channel);
                        EndAttempt(id, AttemptEnd::kNotSent, {});
+                     } else if (may_send && !may_send(id)) {
+                       KeepChannel(server, channel);
+                       EndAttempt(id, AttemptEnd::kWithdrawn, {});
                      } else if (is_needed) {
                        attempts_.at(id)->sent_at = loop_->now();
                        SendOnChannel(channel, id);
@@ -250,26 +255,36 @@
     EndAttempt(id,
                end == ExchangeEnd::kUnsent ? AttemptEnd::kNotSent
                                            : AttemptEnd::kBroken,
-               {});
+               {}, end == ExchangeEnd::kBroken);
   }
 }
 
-void Backends::EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply) {
+AttemptResult Backends::ResultOf(AttemptId id, const Attempt& attempt,
+                                 AttemptEnd end, Millis now) {
+  AttemptResult result;
+  result.id = id;
+  result.server = attempt.server->view.entry.id;
+  result.view = {attempt.server, &attempt.server->view};
+  result.end = end;
+  result.latency = now - attempt.sent_at;
+  return result;
+}
+
+void Backends::EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply,
+                          bool connection_lost) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
   const auto attempt = std::move(found->second);
   attempts_.erase(found);
   const auto server = attempt->server;
-  if (end != AttemptEnd::kReply) {
+  if (end != AttemptEnd::kReply && end != AttemptEnd::kWithdrawn) {
     prober_->RecordFailure(server->view.entry.data_centre);
   }
-  AttemptResult result;
-  result.id = id;
-  result.server = server->view.entry.id;
-  result.view = {server, &server->view};
-  result.end = end;
+  AttemptResult result = ResultOf(id, *attempt, end, loop_->now());
+  if (connection_lost && attempt->spec.on_connection_lost) {
+    attempt->spec.on_connection_lost(result);
+  }
   result.reply = std::move(reply);
-  result.latency = loop_->now() - attempt->sent_at;
   if (attempt->spec.on_end) {
     attempt->spec.on_end(std::move(result));
   }
--- a/packages/edge/src/backends_impl.h
+++ b/packages/edge/src/backends_impl.h
@@ -1,8 +1,10 @@
 // Per-server, per-service and per-attempt state of Backends.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "hibiscuspick/edge/backends.h"
@@ -22,6 +24,14 @@
   // Time of the last reply or successful connect.
   Millis last_contact{-1};
   bool probing = false;
+  // When a check found that its process has ended.
+  Millis ended_at{-1e9};
+  // Requests that wait for the check in progress.
+  struct CheckWaiter {
+    std::string request_id;
+    std::function<void(const ServerCheck&)> done;
+  };
+  std::vector<CheckWaiter> check_waiters;
   // By the evidence of all senders; see engine::kBadBelief.
   bool believed_bad = false;
 };
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -55,7 +55,7 @@
   const ReadState state = reader_->Read(&buffer_);
   if (state == ReadState::kMore) return false;
   if (state != ReadState::kDone) {
-    Finish(ExchangeEnd::kBroken, {});
+    Finish(ExchangeEnd::kMalformed, {});
     return false;
   }
   HttpReply reply = reader_->Take();
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -230,6 +230,10 @@
   spec.on_end = [self, i](AttemptResult result) {
     self->OnAttempt(i, std::move(result));
   };
+  spec.on_connection_lost = [self](const AttemptResult& result) {
+    self->context_->backends->CheckServer(result, self->request_id_,
+                                          [](const ServerCheck&) {});
+  };
   return spec;
 }
 
