A query that a peer returns keeps its deadlines

Cause: when a peer returned a query without having run it, this instance ran it with deadlines computed anew from the caller's header: the time at the peer was forgotten, and so was whether the request is a retry. A stopping sender may hold a queued query for seconds before it returns it. Ruled out for the other ways: requests held before the configuration deduct the wait, token waits too.

Change: the deadlines at the time of forwarding are kept and reduced by the time since. Test: a peer that answers 424 after 700 ms; servers were handed 1,988 ms of 2,000, now 1,300 at most.

--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -67,6 +67,9 @@
   std::optional<engine::LagBounds> lags = std::nullopt;
 };
 
+// The deadlines after `waited`.
+ForwardedDeadlines After(ForwardedDeadlines deadlines, Millis waited);
+
 // Why a request did not succeed.
 enum class QueryFault {
   kNone,
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -173,11 +173,13 @@
   // route.
   void ServeLocally(const std::shared_ptr<HttpSession>& session,
                     HttpRequest request, const engine::Route* route);
-  // `route` is part of `config`.
+  // `route` is part of `config`. `deadlines` are those left of a request that
+  // has waited; by default they begin now.
   void Serve(const std::shared_ptr<HttpSession>& session,
              const std::shared_ptr<const engine::TrafficConfig>& config,
              HttpRequest request, const engine::Route& route,
-             const std::optional<ForwardedQuery>& forwarded);
+             const std::optional<ForwardedQuery>& forwarded,
+             const std::optional<ForwardedDeadlines>& deadlines = {});
   // Decides whether the caller may use the route and sets the request's
   // account; refuses the request and returns false otherwise.
   bool AdmitCaller(HttpSession* session, const engine::Route& route,
@@ -298,6 +300,9 @@
     // The configuration that the request uses, and the route in it.
     std::shared_ptr<const engine::TrafficConfig> config;
     const engine::Route* route = nullptr;
+    // The deadlines at the time when it was forwarded.
+    ForwardedDeadlines deadlines;
+    Millis forwarded_at;
     std::function<bool()> cancel;
   };
   std::unordered_map<HttpSession*, ForwardedRequest> forwarded_requests_;
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -58,6 +58,12 @@
   }
 }
 
+ForwardedDeadlines After(ForwardedDeadlines deadlines, Millis waited) {
+  deadlines.answer_in = deadlines.answer_in - waited;
+  deadlines.deadline_in = deadlines.deadline_in - waited;
+  return deadlines;
+}
+
 ForwardedDeadlines QueryRun::DeadlinesFor(const QueryContext& context,
                                           const engine::Route& route,
                                           engine::RouteLatency* route_latency,
--- a/packages/edge/src/request_quarantine.cc
+++ b/packages/edge/src/request_quarantine.cc
@@ -67,9 +67,10 @@
           "hibiscuspick_edge_quarantines_cleared_total",
           "Records of requests dropped since a server survived the request, or "
           "by an operator")) {
-  registry->AddGauge("hibiscuspick_edge_quarantine_records",
-                     "Requests under which servers have ended lately", {},
-                     [this] { return double(table_.records.size()); });
+  registry->AddGauge(
+      "hibiscuspick_edge_quarantine_records",
+      "Requests under which servers have ended lately", {},
+      [this] { return static_cast<double>(table_.records.size()); });
 }
 
 void RequestQuarantine::SetPeers(const std::vector<engine::Peer>& peers) {
--- a/packages/edge/src/traffic_admission.cc
+++ b/packages/edge/src/traffic_admission.cc
@@ -47,12 +47,6 @@
   return refusal;
 }
 
-ForwardedDeadlines After(ForwardedDeadlines deadlines, Millis wait) {
-  deadlines.answer_in = deadlines.answer_in - wait;
-  deadlines.deadline_in = deadlines.deadline_in - wait;
-  return deadlines;
-}
-
 }  // namespace
 
 // A request that waits for a token of its account.
@@ -81,18 +75,20 @@
     const std::shared_ptr<HttpSession>& session,
     const std::shared_ptr<const engine::TrafficConfig>& config,
     HttpRequest request, const engine::Route& route,
-    const std::optional<ForwardedQuery>& forwarded) {
+    const std::optional<ForwardedQuery>& forwarded,
+    const std::optional<ForwardedDeadlines>& deadlines) {
   const auto* account = AccountOf(*config, request);
   // A part of a query is counted where the whole query is run.
   const bool is_part = forwarded && !forwarded->shard_indices.empty();
   if (account == nullptr || is_part) {
-    Run(session, config, std::move(request), route, forwarded, {});
+    Run(session, config, std::move(request), route, forwarded,
+        {{}, false, deadlines});
     return;
   }
   if (!allowances_.IsEnabled() || !account->allowance.IsLimited()) {
     account_metrics_.Count(account->id, AccountEvent::kAdmitted, loop_->now());
     Run(session, config, std::move(request), route, forwarded,
-        {account->id, false, std::nullopt});
+        {account->id, false, deadlines});
     return;
   }
   const auto wait = std::make_shared<TokenWait>();
@@ -100,7 +96,8 @@
   wait->config = config;
   wait->route = &route;
   wait->forwarded = forwarded;
-  wait->deadlines = forwarded
+  wait->deadlines = deadlines ? *deadlines
+                    : forwarded
                         ? forwarded->deadlines
                         : QueryRun::DeadlinesFor(
                               context_, route, RouteLatencyOf(route), request);
--- a/packages/edge/src/traffic_forwarding.cc
+++ b/packages/edge/src/traffic_forwarding.cc
@@ -153,8 +153,9 @@
   ForwardedQuery query;
   query.config_version = config_->version;
   query.account = request.account;
-  query.deadlines =
+  const auto deadlines =
       QueryRun::DeadlinesFor(context_, route, RouteLatencyOf(route), request);
+  query.deadlines = deadlines;
   const bool is_remote =
       peer->data_centre != settings_.backends.choice.own_data_centre;
   // Round trip to the peer and processing on both ends, as measured.
@@ -170,7 +171,8 @@
   SetQuarantineHeader(quarantine_, FingerprintOf(request, route),
                       &sent.headers);
   // Stored before the send, which may end immediately.
-  forwarded_requests_[session.get()] = {session, request, config_, &route, {}};
+  forwarded_requests_[session.get()] = {
+      session, request, config_, &route, deadlines, loop_->now(), {}};
   session->set_on_disconnect([this, disconnected = session.get()] {
     auto node = forwarded_requests_.extract(disconnected);
     if (!node.empty() && node.mapped().cancel) node.mapped().cancel();
@@ -218,7 +220,8 @@
     return;
   }
   Serve(session, forwarded.config, std::move(forwarded.request),
-        *forwarded.route, std::nullopt);
+        *forwarded.route, std::nullopt,
+        After(forwarded.deadlines, loop_->now() - forwarded.forwarded_at));
 }
 
 // Answers all running queries and those forwarded to peers. A stalled peer
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -130,6 +130,30 @@
   BOOST_TEST(RemoteBytes(data_centres.local, "parts") == parts_before);
 }
 
+// Failure: a peer returns a query that it has not run after 700 ms, and servers
+// are handed the whole time that the caller had.
+BOOST_AUTO_TEST_CASE(TimeAtAPeerIsDeductedFromTheDeadline) {
+  TwoDataCentres data_centres;
+  RawServer peer([](auto&) {
+    return ScriptedReply{
+        .text = "HTTP/1.1 424 Unreachable\r\nContent-Length: 0\r\n\r\n",
+        .wait_ms = 700};
+  });
+  engine::Peer sender = data_centres.remote.peer();
+  sender.query_address.port = peer.port();
+  data_centres.SetPeers({sender}, {});
+  const auto answer = data_centres.local.SendRequest("GET /g/x");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "), answer);
+  BOOST_TEST(peer.requests().size() == 1);
+  // The request states 2,000 ms.
+  BOOST_TEST(data_centres.RequestCount() >= kShards / 2);
+  for (auto* it : data_centres.servers) {
+    for (const auto& request : it->requests()) {
+      BOOST_TEST(std::stoi(HeaderValue(request, "Q-Deadline")) <= 1300);
+    }
+  }
+}
+
 // The peer is unreachable: its parts are queried from here, without using the
 // budget since nothing has run.
 BOOST_AUTO_TEST_CASE(PartsOfUnreachableRelayAreQueriedLocally) {
--- a/packages/engine/src/request_quarantine.cc
+++ b/packages/engine/src/request_quarantine.cc
@@ -1,7 +1,9 @@
 #include "hibiscuspick/engine/request_quarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cinttypes>
 #include <cstdio>
 
 #include "hibiscuspick/base/hash.h"
@@ -84,8 +86,7 @@
 
 std::string ToHex(uint64_t n) {
   std::array<char, kHexDigits + 1> buf{};
-  (void)std::snprintf(buf.data(), buf.size(), "%016llx",
-                      static_cast<unsigned long long>(n));
+  (void)std::snprintf(buf.data(), buf.size(), "%016" PRIx64, n);
   return buf.data();
 }
 
