Soak: requests that end the servers they reach

Promise, from servers and callers alone: 0.2 s after three servers have ended under a request, one more server at most gets it from instances that are not disturbed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults from outside: each ends by itself and notes what it disturbed."""
 
 import asyncio
+import random
 import signal
 
 from daemons import GRACE
@@ -129,6 +130,17 @@
         for it in some:
             it.mode = "well"
 
+    async def fault_fatal_request(self, drawn, until):
+        """A request ends each server that gets it, and its caller asks again, at any instance."""
+        await asyncio.sleep(drawn.uniform(0, until - self.now() - 2))
+        target = f"/{drawn.choice('ga')}/fatal{drawn.getrandbits(32):x}"
+        self.faults.append(f"{self.now() - self.began:.1f} {target}")
+        for _ in range(5):
+            await self.call("fatal", target, "GET", drawn.choice(self.daemons))
+            await asyncio.sleep(drawn.uniform(0.02, 0.6))
+        await asyncio.sleep(1.5)
+        await self.world.replace_ended()
+
     async def fault_backend_link(self, hold):
         some = [self.world.proxies[it.name]
                 for it in self.random.sample(self.world.backends, self.random.randint(1, 3))]
@@ -219,7 +231,9 @@
                  self.fault_store_cut, self.fault_backend, self.fault_backend, self.fault_backend_link,
                  self.fault_drain, self.fault_evacuate, self.fault_config, self.fault_peer_link, self.fault_clock,
                  self.fault_log_stands, self.fault_strange_object, self.fault_entry_turns_bad]
-        tasks = []
+        # Draws of its own, so that seeds play the other faults as before.
+        drawn = random.Random(-self.seed)
+        tasks = [asyncio.create_task(self.fault_fatal_request(drawn, until)) for _ in range(2)]
         while self.now() < until:
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
             kind = self.random.choice(kinds)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,9 @@
 
 SHARDS = 6
 LEAST = 0.6
+# Servers that may end under a request, and the time until all instances know.
+MOST_ENDS = 3
+ENDS_KNOWN = 0.2
 TOP = 5
 CONFIG_BOUND = 3.0
 DRAIN_BOUND = 3.0
@@ -75,6 +78,20 @@
                     self.breaks("drain", f"{backend.name} got {call['id']} "
                                 f"{late[0] - backend.drained_at:.1f} s after it drained")
 
+    def check_fatal_requests(self):
+        """Once three servers have ended under a request, one more at most gets it, to find out."""
+        for target, ends in self.world.ends.items():
+            if len(ends) < MOST_ENDS:
+                continue
+            known = sorted(ends)[MOST_ENDS - 1] + ENDS_KNOWN
+            late = [call for call in self.calls if call["target"] == target and call["sent"] > known
+                    and self.world.runs.get(call["id"])
+                    and self.calm(call["daemon"], min(ends) - 1, call["ended"])]
+            runs = sum(len(self.world.runs[call["id"]]) for call in late)
+            if runs > 1:
+                self.breaks("ends", f"{target} was sent to {runs} servers after three had ended, "
+                            f"{len(ends)} ended; first by {late[0]['id']} at {late[0]['daemon'].name}")
+
     def check_evacuations(self):
         for place, began, ended in self.world.evacuations:
             bound = began + EVACUATE_BOUND
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -79,7 +79,8 @@
 
     async def call(self, kind, path, method, daemon, deadline=1.5):
         request = f"{self.random.getrandbits(64):016x}"
-        call = {"id": request, "kind": kind, "daemon": daemon, "sent": self.now(), "status": 0}
+        call = {"id": request, "kind": kind, "target": path, "daemon": daemon, "sent": self.now(),
+                "status": 0}
         self.calls.append(call)
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", daemon.callers)
@@ -130,6 +131,7 @@
         self.check_calls()
         self.check_drains()
         self.check_evacuations()
+        self.check_fatal_requests()
         self.check_budget()
         self.check_recovery(min(calm_from, faults_end + 7))
         for it in self.daemons:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,8 +38,8 @@
         self.writers = set()
 
     async def listen(self):
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self.listener.sockets[0].getsockname()[1]
 
     async def _accept(self, reader, writer):
         self.writers.add(writer)
@@ -53,6 +53,11 @@
             self.writers.discard(writer)
             writer.close()
 
+    def end(self):
+        """Refuses connections and closes those there are, as a process that ends does."""
+        self.listener.close()
+        self.reset_all()
+
     def reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
@@ -196,7 +201,7 @@
         loop = asyncio.get_event_loop()
         while True:
             line, headers, _ = await read_message(reader)
-            method = line.split(" ")[0]
+            method, target = line.split(" ")[:2]
             request = headers.get("x-request-id", "")
             echo = [("X-Request-Id", request)]
             if headers.get("x-expect-instance") not in (None, self.name):
@@ -208,6 +213,9 @@
                 continue
             self.world.ran(self, method, request, loop.time())
             await asyncio.sleep(random.uniform(0.002, 0.008))
+            if "fatal" in target:
+                self.world.end_backend(self, target, loop.time())
+                return
             if loop.time() < self.paused_until:
                 await asyncio.sleep(self.paused_until - loop.time())
             if self.mode == "slow":
@@ -271,11 +279,30 @@
         self.stamps = {}
         # [data centre, begin, end or None while it lasts]
         self.evacuations = []
+        # Times at which servers ended, by the target that ended them.
+        self.ends = {}
+        self.ended = []
 
     def ran(self, backend, method, request, now):
         self.arrivals.append((now, backend.service, request))
         self.runs.setdefault(request, []).append((now, backend, method))
 
+    def end_backend(self, backend, target, now):
+        if backend not in self.backends:
+            return
+        self.ends.setdefault(target, []).append(now)
+        self.backends.remove(backend)
+        self.ended.append(backend)
+        self.proxies[backend.name].end()
+        backend.end()
+
+    async def replace_ended(self):
+        """Entries of ended servers lapse, and others start in their place."""
+        for backend in self.ended[:]:
+            self.ended.remove(backend)
+            self.store.remove("servers", backend.name)
+            await self.add_backend(backend.service, f"{backend.name[:-1]}n{backend.name[-1]}")
+
     async def add_backend(self, service, name):
         backend = Backend(self, service, name)
         await backend.listen()
