Requests that end with another one's servers are not quarantined

Cause: a fatal request's canary ended a server on which /g/x had a repeat, and one repeat that ended was proof enough; other instances decided on reports that didn't say that servers had survived it.

Change: a repeat that ended counts alone only if no server survived the request and it wasn't served lately; else three repeats must end without another request at their servers. Reports carry survivors and whether it was served.

--- a/packages/edge/include/hibiscuspick/edge/evidence_exchange.h
+++ b/packages/edge/include/hibiscuspick/edge/evidence_exchange.h
@@ -9,6 +9,7 @@
 
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/edge/backends.h"
+#include "hibiscuspick/edge/byte_budget.h"
 #include "hibiscuspick/edge/evidence_wire.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/http_session.h"
@@ -60,8 +61,6 @@
   void Merge(const std::string& body);
   std::vector<engine::EvidenceReport> WithOrigin(
       std::vector<engine::EvidenceReport> reports) const;
-  // Takes bytes from the budget; false if they exceed it.
-  bool TakeBytes(size_t bytes);
 
   Loop* const loop_;
   Backends* const backends_;
@@ -73,8 +72,9 @@
   DataCentreId own_data_centre_;
   std::map<InstanceId, PeerState> peers_;
   Loop::TimerId timer_ = 0;
-  double byte_budget_;
-  Millis budget_at_;
+  // R6.8 of docs/design/hard-load.md: 3 KB/s for each instance. The start of an
+  // event may use what was left in the last 20 s.
+  ByteBudget byte_budget_;
   uint64_t last_message_ = 0;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -398,6 +398,8 @@
   std::vector<uint64_t> ended_servers_;
   // Lost connections whose servers are being checked.
   size_t unconfirmed_ends_ = 0;
+  // Could be failed but for what its attempts in progress will show.
+  bool awaiting_checks_ = false;
   size_t survivors_ = 0;
   size_t canary_window_ = 1;
   bool repeat_ended_ = false;
--- a/packages/edge/include/hibiscuspick/edge/request_quarantine.h
+++ b/packages/edge/include/hibiscuspick/edge/request_quarantine.h
@@ -14,6 +14,7 @@
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/base/random.h"
 #include "hibiscuspick/edge/backends.h"
+#include "hibiscuspick/edge/byte_budget.h"
 #include "hibiscuspick/edge/http_session.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/peer_messages.h"
@@ -103,7 +104,6 @@
   bool MergeReport(const engine::QuarantineReport& report);
   void LogIfQuarantined(const engine::RequestFingerprint& request,
                         const char* source);
-  bool TakeBytes(size_t bytes);
   std::string ListText() const;
 
   Loop* const loop_;
@@ -119,8 +119,7 @@
   std::vector<engine::QuarantineReport> pass_on_;
   bool send_posted_ = false;
   bool has_requested_all_ = false;
-  double byte_budget_;
-  Millis budget_at_;
+  ByteBudget byte_budget_;
   Random random_;
   LineBudget end_lines_{5, 50, 50};
   metrics::Counter* const lost_running_;
--- a/packages/edge/src/evidence_exchange.cc
+++ b/packages/edge/src/evidence_exchange.cc
@@ -29,11 +29,6 @@
 constexpr Millis kRetryInterval{1000};
 constexpr Millis kUnsupportedInterval{60000};
 
-// R6.8 of docs/design/hard-load.md: 3 KB/s for each instance. The start of an
-// event may use what was left in the last 20 s.
-constexpr double kBytesPerMs = 3;
-constexpr double kMaxByteBudget = 60000;
-
 }  // namespace
 
 EvidenceExchange::EvidenceExchange(Loop* loop, Backends* backends,
@@ -51,9 +46,7 @@
       received_bytes_(&registry->GetCounter(
           "hibiscuspick_edge_evidence_bytes_total",
           "Bytes of evidence about servers, exchanged among senders",
-          {{"direction", "received"}})),
-      byte_budget_(kMaxByteBudget),
-      budget_at_(SteadyNow()) {
+          {{"direction", "received"}})) {
   own_.incarnation = static_cast<uint64_t>(WallNow().count);
 }
 
@@ -129,16 +122,6 @@
   return reports;
 }
 
-bool EvidenceExchange::TakeBytes(size_t bytes) {
-  const Millis now = loop_->now();
-  byte_budget_ = std::min(byte_budget_ + (now - budget_at_).count * kBytesPerMs,
-                          kMaxByteBudget);
-  budget_at_ = now;
-  if (byte_budget_ < static_cast<double>(bytes)) return false;
-  byte_budget_ -= static_cast<double>(bytes);
-  return true;
-}
-
 void EvidenceExchange::SendTo(const InstanceId& id) {
   auto& peer = peers_.at(id);
   EvidenceMessage message;
@@ -159,7 +142,7 @@
   request.headers.push_back({"Host", "peer"});
   request.body = FormatEvidence(message, own_, loop_->now());
   const std::string text = ToText(request);
-  if (!TakeBytes(text.size())) return;
+  if (!TakeBytes(&byte_budget_, text.size(), loop_->now())) return;
   sent_bytes_->Add(text.size());
   peer.in_flight = true;
   peer.message = ++last_message_;
@@ -257,7 +240,9 @@
       if (!all.reports.empty()) {
         reply.body = FormatEvidence(all, own_, loop_->now());
       }
-      if (!TakeBytes(reply.body.size())) reply.body.clear();
+      if (!TakeBytes(&byte_budget_, reply.body.size(), loop_->now())) {
+        reply.body.clear();
+      }
       sent_bytes_->Add(reply.body.size());
     }
   }
--- a/packages/edge/src/quarantine_wire.cc
+++ b/packages/edge/src/quarantine_wire.cc
@@ -45,13 +45,16 @@
 
 }  // namespace
 
-// Fields: fingerprint, whether cleared, whether a repeat ended a server, how
-// often quarantined, milliseconds left; then each ended server and its service.
+// Fields: fingerprint, whether cleared, served before, and whether a repeat
+// ended a server; repeats alone, survivors, how often quarantined, milliseconds
+// left; then each ended server and its service.
 std::string FormatReport(const engine::QuarantineReport& report) {
-  std::string line = fmt::format(
-      "{} {} {} {} {}", engine::ToText(report.request), report.cleared ? 1 : 0,
-      report.repeat_ended ? 1 : 0, report.quarantines,
-      static_cast<int64_t>(std::ceil(report.refused_for.count)));
+  std::string line =
+      fmt::format("{} {} {} {} {} {} {} {}", engine::ToText(report.request),
+                  report.cleared ? 1 : 0, report.was_served ? 1 : 0,
+                  report.repeat_ended ? 1 : 0, report.repeats_alone,
+                  report.survivors, report.quarantines,
+                  static_cast<int64_t>(std::ceil(report.refused_for.count)));
   const size_t n = std::min(report.ends.size(), kMaxEndsSent);
   for (size_t i = 0; i < n; ++i) {
     const auto& it = report.ends[i];
@@ -68,10 +71,14 @@
   engine::QuarantineReport report;
   const auto request = engine::ParseFingerprint(TakeUntil(&line, ' '));
   int cleared = 0;
+  int was_served = 0;
   int repeat_ended = 0;
   int64_t refused_for = 0;
   if (!request || !ParseNumber(TakeUntil(&line, ' '), kDecimal, &cleared) ||
+      !ParseNumber(TakeUntil(&line, ' '), kDecimal, &was_served) ||
       !ParseNumber(TakeUntil(&line, ' '), kDecimal, &repeat_ended) ||
+      !ParseNumber(TakeUntil(&line, ' '), kDecimal, &report.repeats_alone) ||
+      !ParseNumber(TakeUntil(&line, ' '), kDecimal, &report.survivors) ||
       !ParseNumber(TakeUntil(&line, ' '), kDecimal, &report.quarantines) ||
       !ParseNumber(TakeUntil(&line, ' '), kDecimal, &refused_for) ||
       refused_for < 0 || report.quarantines < 0 ||
@@ -80,6 +87,7 @@
   }
   report.request = *request;
   report.cleared = cleared != 0;
+  report.was_served = was_served != 0;
   report.repeat_ended = repeat_ended != 0;
   report.refused_for = Millis(static_cast<double>(refused_for));
   while (!line.empty()) {
--- a/packages/edge/src/query_losses.cc
+++ b/packages/edge/src/query_losses.cc
@@ -181,8 +181,9 @@
 }
 
 bool QueryRun::IsServerCheckPending() const {
-  return unconfirmed_ends_ > 0 ||
-         context_->quarantine->IsUndecided(fingerprint_);
+  const auto state = SendStateNow();
+  return state.unconfirmed > 0 || state.undecided ||
+         (state.own_ends > 0 && state.survivors == 0 && state.open_in_time > 0);
 }
 
 void QueryRun::OnServerSurvived(size_t i, bool is_canary) {
--- a/packages/edge/src/query_retry.cc
+++ b/packages/edge/src/query_retry.cc
@@ -105,10 +105,9 @@
 Millis QueryRun::NextHedgeTime() const {
   Millis next_time = kNever;
   const Millis now = context_->loop->now();
+  bool is_held = awaiting_checks_;
   for (const auto& part : parts_) {
-    if (part.held && !part.IsOver()) {
-      next_time = Min(next_time, now + route_latency_->hedge_after);
-    }
+    is_held = is_held || (part.held && !part.IsOver());
     if (part.IsOver() || !MayHedge(part)) continue;
     // A hedge that is due but found no server or no budget is tried again after
     // a quarter of the hedge delay.
@@ -118,6 +117,8 @@
     }
     next_time = Min(next_time, at);
   }
+  // Attempts that have become late no longer hold back others.
+  if (is_held) next_time = Min(next_time, now + route_latency_->hedge_after);
   return next_time;
 }
 
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -410,7 +410,8 @@
       return;
     case GatherStep::kFail:
       // The caller may retry at once: what its retry meets is decided first.
-      if (IsServerCheckPending()) {
+      awaiting_checks_ = IsServerCheckPending();
+      if (awaiting_checks_) {
         ArmTimer();
         return;
       }
--- a/packages/edge/src/request_quarantine.cc
+++ b/packages/edge/src/request_quarantine.cc
@@ -24,10 +24,6 @@
 constexpr size_t kMaxDirectPeers = 32;
 constexpr size_t kPeersPerDataCentre = 2;
 
-// Limit of the messages sent; the burst is for the start of an event.
-constexpr double kBytesPerMs = 3;
-constexpr double kMaxByteBudget = 60000;
-
 // A single server that ends under a fan-out says little, and with many servers
 // most fan-outs in progress are affected.
 constexpr size_t kMinFanOutEnds = 2;
@@ -50,8 +46,6 @@
       settings_(std::move(settings)),
       backends_(backends),
       messages_(loop, settings_.data_centre, remote_bytes),
-      byte_budget_(kMaxByteBudget),
-      budget_at_(SteadyNow()),
       random_(static_cast<uint64_t>(WallNow().count)),
       lost_running_(LostConnections(registry, "running")),
       lost_ended_(LostConnections(registry, "ended")),
@@ -174,7 +168,7 @@
 
 void RequestQuarantine::Clear(const engine::RequestFingerprint& request,
                               std::string_view reason) {
-  engine::ClearRecord(&table_, request);
+  engine::ClearRecord(&table_, request, loop_->now());
   cleared_->Add();
   if (TakeLine(&end_lines_, loop_->now())) {
     Log(Part::kRoute)
@@ -246,20 +240,10 @@
   });
 }
 
-bool RequestQuarantine::TakeBytes(size_t bytes) {
-  const Millis now = loop_->now();
-  byte_budget_ = std::min(byte_budget_ + (now - budget_at_).count * kBytesPerMs,
-                          kMaxByteBudget);
-  budget_at_ = now;
-  if (byte_budget_ < static_cast<double>(bytes)) return false;
-  byte_budget_ -= static_cast<double>(bytes);
-  return true;
-}
-
 void RequestQuarantine::Send(const InstanceId& to,
                              const QuarantineMessage& message) {
   std::string text = FormatQuarantine(message);
-  if (!TakeBytes(text.size())) return;
+  if (!TakeBytes(&byte_budget_, text.size(), loop_->now())) return;
   messages_.Send(to, kPath, std::move(text), kMessageTimeout,
                  [this](const std::optional<std::string>& reply) {
                    if (!reply || reply->empty()) return;
--- a/packages/edge/tests/ending_servers_test.cc
+++ b/packages/edge/tests/ending_servers_test.cc
@@ -59,6 +59,15 @@
   BOOST_TEST(IsServed(servers.Send(0, "GET /g/x")));
 }
 
+// Failure: a fan-out fails at its first ends, and its retry ends more servers.
+BOOST_AUTO_TEST_CASE(RetriesAreRecognisedOnRoutesOfOneAttempt) {
+  const EndingServersOptions options{.instances = 2, .attempts = 1};
+  EndingServers servers(options);
+  servers.JoinInstances();
+  for (size_t i = 0; i < 4; ++i) servers.Send(i % 2, kFatalFanOut);
+  BOOST_TEST(servers.AttemptCount(kFatal) <= options.shards);
+}
+
 // Failure: a relay sends the parts of a request on, and the owner does too.
 BOOST_AUTO_TEST_CASE(RelayedPartsAreNotRepeatedAfterServersEnded) {
   const EndingServersOptions options{.instances = 2, .two_data_centres = true};
--- a/packages/engine/include/hibiscuspick/engine/request_quarantine.h
+++ b/packages/engine/include/hibiscuspick/engine/request_quarantine.h
@@ -71,6 +71,8 @@
   // A server ended under a repeat: an attempt at a service of which the request
   // had ended another server before.
   bool repeat_ended = false;
+  // How often that happened without another request at the server.
+  size_t repeats_alone = 0;
   // The request was served shortly before its first server ended.
   bool was_served = false;
   // Whether it has been found out if servers without the request ended too, and
@@ -104,6 +106,8 @@
 };
 
 struct QuarantineTable {
+  // When requests were cleared; reports sent before may still arrive.
+  std::unordered_map<RequestFingerprint, Millis, FingerprintHash> cleared_at;
   std::unordered_map<RequestFingerprint, QuarantineRecord, FingerprintHash>
       records;
   ServedRequests served;
@@ -138,7 +142,8 @@
                     const ServiceId& service);
 
 // Forgets the request; false if there was no record.
-bool ClearRecord(QuarantineTable* table, const RequestFingerprint& request);
+bool ClearRecord(QuarantineTable* table, const RequestFingerprint& request,
+                 Millis now);
 
 // How a new request is treated.
 struct Treatment {
@@ -161,7 +166,10 @@
   // The request was found to be harmless.
   bool cleared = false;
   std::vector<ServerEnd> ends;
+  size_t survivors = 0;
   bool repeat_ended = false;
+  size_t repeats_alone = 0;
+  bool was_served = false;
   // How much longer it is refused; 0 if it isn't.
   Millis refused_for{0};
   int quarantines = 0;
--- a/packages/engine/src/request_quarantine.cc
+++ b/packages/engine/src/request_quarantine.cc
@@ -23,6 +23,9 @@
 
 constexpr Millis kServedTtl{60000};
 
+// Longer than a report takes to all instances.
+constexpr Millis kClearedTtl{2000};
+
 constexpr size_t kHexDigits = 16;
 
 Millis QuarantineDuration(int quarantines) {
@@ -53,10 +56,15 @@
   const bool decided_since_end =
       record->quarantines > 0 && record->last_end_at < record->refuse_until;
   if (record->ends.size() < kMaxServerEnds || decided_since_end) return;
+  // Others' requests end with the servers that a request ends, but some of
+  // theirs survive.
+  const bool none_survived = record->survivors == 0 && !record->was_served;
+  const bool by_repeat = (record->repeat_ended && none_survived) ||
+                         record->repeats_alone >= kMaxServerEnds;
   const bool unexplained = NeedsBystanderCheck(*record) &&
                            record->bystanders_checked &&
                            !record->bystanders_ended;
-  if (!record->repeat_ended && !unexplained) return;
+  if (!by_repeat && !unexplained) return;
   ++record->quarantines;
   record->refuse_until = now + QuarantineDuration(record->quarantines);
 }
@@ -162,6 +170,7 @@
   AddEnd(&record, seen.end);
   record.survivors = std::max(record.survivors, seen.survivors);
   record.repeat_ended = record.repeat_ended || seen.is_repeat;
+  record.repeats_alone += seen.is_repeat && seen.end.alone ? 1 : 0;
   record.last_end_at = now;
   Decide(&record, now);
   return record;
@@ -199,7 +208,14 @@
   return true;
 }
 
-bool ClearRecord(QuarantineTable* table, const RequestFingerprint& request) {
+bool ClearRecord(QuarantineTable* table, const RequestFingerprint& request,
+                 Millis now) {
+  auto& cleared = table->cleared_at;
+  if (cleared.size() >= kMaxQuarantineRecords) {
+    std::erase_if(cleared,
+                  [&](auto& it) { return now - it.second >= kClearedTtl; });
+  }
+  if (cleared.size() < kMaxQuarantineRecords) cleared[request] = now;
   return table->records.erase(request) > 0;
 }
 
@@ -217,7 +233,10 @@
   QuarantineReport report;
   report.request = request;
   report.ends = record.ends;
+  report.survivors = record.survivors;
   report.repeat_ended = record.repeat_ended;
+  report.repeats_alone = record.repeats_alone;
+  report.was_served = record.was_served;
   report.refused_for = Max(record.refuse_until - now, Millis(0));
   report.quarantines = record.quarantines;
   return report;
@@ -225,14 +244,20 @@
 
 bool MergeReport(QuarantineTable* table, const QuarantineReport& report,
                  Millis now) {
-  if (report.cleared) return ClearRecord(table, report.request);
-  if (report.ends.empty()) return false;
+  if (report.cleared) return ClearRecord(table, report.request, now);
+  const auto cleared = table->cleared_at.find(report.request);
+  const bool is_outdated =
+      cleared != table->cleared_at.end() && now - cleared->second < kClearedTtl;
+  if (report.ends.empty() || is_outdated) return false;
   auto& record = RecordFor(table, report.request, now);
   bool is_new = record.ends.empty();
   if (is_new) record.was_served = table->served.Contains(report.request, now);
   for (const auto& it : report.ends) is_new |= AddEnd(&record, it);
   is_new |= report.repeat_ended && !record.repeat_ended;
   record.repeat_ended = record.repeat_ended || report.repeat_ended;
+  record.repeats_alone = std::max(record.repeats_alone, report.repeats_alone);
+  record.survivors = std::max(record.survivors, report.survivors);
+  record.was_served = record.was_served || report.was_served;
   const Millis until = now + Min(report.refused_for, kMaxQuarantine);
   if (report.refused_for > Millis(0) && now >= record.refuse_until) {
     is_new = true;
