--- a/packages/edge/tests/ending_servers_test.cc
+++ b/packages/edge/tests/ending_servers_test.cc
@@ -95,8 +95,7 @@
   BOOST_TEST(refused.find("Hp-") == std::string::npos);
 }
 
-// Failure: connections are lost, the servers run on, and the request is stopped
-// as if it had ended them.
+// Failure: a request is stopped for lost connections to servers that run on.
 BOOST_AUTO_TEST_CASE(LostConnectionsAreNoEnds) {
   TrafficFixture fixture;
   auto& route = fixture.AddRoute("/p/");
@@ -115,8 +114,7 @@
   BOOST_TEST(attempts == 6);
 }
 
-// Failure: a third of the servers end at once, and fan-outs in progress that
-// lost more than three of them are given up.
+// Failure: fan-outs are given up since many servers end at once.
 BOOST_AUTO_TEST_CASE(FanOutsSurviveTheEndOfManyServers) {
   EndingServers servers({.work_ms = 40});
   // Connections are made before.
@@ -134,8 +132,7 @@
   for (const auto& it : answers) BOOST_TEST(IsServed(it), it);
 }
 
-// Failure: all servers that had a request end for another reason, and it is
-// refused when its caller asks again.
+// Failure: a request is refused since its servers ended for another reason.
 BOOST_AUTO_TEST_CASE(RequestIsServedAgainAfterAllServersEnded) {
   EndingServers servers({.work_ms = 40});
   std::string answer;
--- a/packages/edge/tests/peers_traffic_test.cc
+++ b/packages/edge/tests/peers_traffic_test.cc
@@ -130,8 +130,7 @@
   BOOST_TEST(RemoteBytes(data_centres.local, "parts") == parts_before);
 }
 
-// Failure: a peer returns a query that it has not run after 700 ms, and servers
-// are handed the whole time that the caller had.
+// Failure: servers are handed the time that a query has spent at a peer.
 BOOST_AUTO_TEST_CASE(TimeAtAPeerIsDeductedFromTheDeadline) {
   TwoDataCentres data_centres;
   RawServer peer([](auto&) {
--- a/packages/engine/tests/request_quarantine_test.cc
+++ b/packages/engine/tests/request_quarantine_test.cc
@@ -89,8 +89,7 @@
      SendDecision::kStop},
 };
 
-// Failure: a request is sent on after three servers ended under it, or one
-// that is harmless isn't.
+// Failure: a request is sent on after three ends, or a harmless one isn't.
 BOOST_DATA_TEST_CASE(RequestsAreSentOnlyWhereServersSurvive,
                      bdata::make(kDecisions), row) {
   BOOST_TEST(static_cast<int>(DecideSend(row.state)) ==
@@ -184,8 +183,7 @@
      Treatment::Kind::kCanary},
 };
 
-// Failure: a request is quarantined for ends with another explanation, or isn't
-// although it has none.
+// Failure: a request is quarantined for ends with another explanation.
 BOOST_DATA_TEST_CASE(QuarantineNeedsEvidence, bdata::make(kEvidence), row) {
   QuarantineTable table;
   if (row.was_served) table.served.Add(kRequest, Millis(0));
@@ -204,8 +202,7 @@
   return table;
 }
 
-// Failure: a wrong quarantine never ends, or one that was right ends further
-// servers as soon as it is over.
+// Failure: a wrong quarantine never ends, or a right one ends all at once.
 BOOST_AUTO_TEST_CASE(QuarantineEndsWithACanary) {
   auto table = Quarantined();
   const auto first =
@@ -224,8 +221,7 @@
   BOOST_TEST((KindAt(table, over) == Treatment::Kind::kServe));
 }
 
-// Failure: an instance repeats what others have found out, or a report that
-// arrives late starts a quarantine anew.
+// Failure: an instance repeats what others know, or an old report counts anew.
 BOOST_AUTO_TEST_CASE(ReportsCarryEvidence) {
   QuarantineTable first;
   RecordEnd(&first, kRequest, End(1), Millis(0));
