--- a/review/1/case.py
+++ b/review/1/case.py
@@ -111,9 +111,11 @@
     ready = await asyncio.gather(*(it.is_ready() for it in daemons))
     for it, is_ready in zip(daemons, ready):
         record("daemon", name=it.name, ready=is_ready, running=it.process.returncode is None)
-    await asyncio.sleep(TIMEOUT_MS / 1000 + HALF_SECOND + 0.1)
-    stopped.set()
-    await asyncio.gather(*tasks)
+    # By then the clients have given up what was sent last and isn't answered.
+    await asyncio.sleep(DEADLINE_MS / 1000 + 0.2)
+    for it in tasks:
+        it.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
     judged = [it for it in calls.all if judged_from <= it["sent"] <= judged_to]
     took = [it["ended"] - it["sent"] if it["status"] else float("inf") for it in judged]
