--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,16 +12,16 @@
 
 from standins import Backend, Calls, Connection, Daemon, Entry, Store, binary, run, trouble  # noqa: E402
 
-SERVICES = ["records", "covers", "payouts", "repairs"]
+SERVICES = [f"records-{n}" for n in range(1, 7)]
 ZONES = ["osl-a", "osl-b", "osl-c"]
 DEADLINE_MS = 2000
 EXTRA_FOR_S = 5.0
 EXTRA_EACH_S = 6.0
-EXTRA_TIMES = 10
-EXTRA_SHARE = 0.03
+EXTRA_TIMES = 13
+EXTRA_SHARE = 0.04
 WORK_LOG_MEAN = 2.95
-GAP_S = 0.2
-BURST = 16
+GAP_S = 0.15
+BURST = 18
 
 
 class ExtraBackend(Backend):
@@ -70,7 +70,7 @@
                      for it in SERVICES],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
     daemons = [Daemon(f"front-{zone}-{n}", zone, ZONES, store, folder, binary(), slack=52)
-               for zone in ZONES for n in (1, 2)]
+               for zone in ZONES for n in (1, 2, 3)]
     for it in daemons:
         await it.start()
         started.append(it)
