--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -358,32 +358,35 @@
 class Daemon:
     """One process of the system, as deploy/system.toml starts it."""
 
-    def __init__(self, name, zone, zones, store, folder, binary, slack=58, regions=None):
+    def __init__(self, name, zone, zones, store, folder, binary, slack=58):
         self.name, self.zone, self.binary = name, zone, binary
-        self.front, self.ready_port = free_port(), free_port()
-        self.news, self.queries = free_port(), free_port()
-        self.settings = {
-            "instance": name, "data_centre": zone,
+        self.zones, self.store_port, self.slack = zones, store.port, slack
+        self.path = os.path.join(folder, name + ".json")
+        self.log_path = os.path.join(folder, name + ".log")
+        self.process = None
+
+    def settings(self):
+        return {
+            "instance": self.name, "data_centre": self.zone,
             "edge": {
                 "callers": f"{LOCALHOST}:{self.front}", "readiness": f"{LOCALHOST}:{self.ready_port}",
-                "store": f"{LOCALHOST}:{store.port}", "news": f"{LOCALHOST}:{self.news}",
+                "store": f"{LOCALHOST}:{self.store_port}", "news": f"{LOCALHOST}:{self.news}",
                 "queries": f"{LOCALHOST}:{self.queries}", "processor": 0.25,
-                "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": slack},
+                "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": self.slack},
                 "cold_servers": {"overage": 1, "slack": 0},
                 "allowances": {"window_ms": 0, "overage": 0, "slack": 0},
                 "client_keys": {"strict_revocation": False, "max_age_ms": 5000},
                 "policy": {"evidence_exchange": False, "refusal_evidence": False},
-                "regions": {it: "region" for it in zones}, "grace_ms": 6000}}
-        self.path = os.path.join(folder, name + ".json")
-        self.log_path = os.path.join(folder, name + ".log")
-        self.process = None
+                "regions": {it: "region" for it in self.zones}, "grace_ms": 6000}}
 
     async def start(self):
+        self.front, self.ready_port = free_port(), free_port()
+        self.news, self.queries = free_port(), free_port()
         with open(self.path, "w") as f:
-            json.dump(self.settings, f)
-        self.log = open(self.log_path, "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            self.binary, "--settings", self.path, stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log)
+            json.dump(self.settings(), f)
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, "--settings", self.path, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
 
     async def is_ready(self, seconds=1.0):
         try:
@@ -403,6 +406,9 @@
     async def wait_ready(self, seconds):
         end = now() + seconds
         while now() < end:
+            if self.process.returncode is not None:
+                # Another program was faster with one of its ports.
+                await self.start()
             if await self.is_ready():
                 return True
             await asyncio.sleep(0.1)
