--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """Full backends turn requests away, and one of them also sends extra answers late. Does a request run twice?"""
 
 import asyncio
+import itertools
 import os
 import random
 import sys
@@ -21,7 +22,6 @@
 EXTRA_SHARE = 0.04
 WORK_LOG_MEAN = 2.95
 GAP_S = 0.15
-BURST = 18
 
 
 class ExtraBackend(Backend):
@@ -56,7 +56,7 @@
     store = Store()
     await store.listen()
     work = lambda headers: random.lognormvariate(WORK_LOG_MEAN, 0.35) / 1000  # noqa: E731
-    backends = [ExtraBackend(record, service, f"i-{service}-{zone}", zone, slots=2, queue=3, work=work)
+    backends = [ExtraBackend(record, service, f"i-{service}-{zone}", zone, slots=2, queue=2, work=work)
                 for service in SERVICES for zone in ("osl-a", "osl-b")]
     for it in backends:
         await it.listen()
@@ -81,12 +81,20 @@
     entry = Entry(record, daemons)
     calls = Calls(record)
     stopped = asyncio.Event()
-
-    idle = {it: [] for it in ZONES}
-
-    async def request(zone, service, n):
-        connections = idle[zone]
-        connection = connections.pop() if connections else Connection(entry, zone, f"{service}-{n}")
+    idle = {it.name: [] for it in daemons}
+    names = itertools.count()
+
+    def client_of(daemon):
+        """A client whose connections the platform forwards to that daemon."""
+        for _ in range(1000):
+            name = f"client-{next(names)}"
+            if entry.choose(daemon.zone, f"{name}/1") is daemon:
+                break
+        return Connection(entry, daemon.zone, name)
+
+    async def request(daemon, service, n):
+        connections = idle[daemon.name]
+        connection = connections.pop() if connections else client_of(daemon)
         await calls.send(connection, "POST", f"/{service}/{n}", f"{service}-{n}", DEADLINE_MS, b"one claim record",
                          2 * DEADLINE_MS / 1000)
         connections.append(connection)
@@ -95,9 +103,10 @@
         open_requests, n = set(), 0
         while not stopped.is_set():
             await asyncio.sleep(random.uniform(GAP_S, 2 * GAP_S))
-            for _ in range(BURST):
+            # Clients of all daemons ask at the same moment.
+            for daemon in daemons:
                 n += 1
-                task = asyncio.ensure_future(request(random.choice(ZONES), service, n))
+                task = asyncio.ensure_future(request(daemon, service, n))
                 open_requests.add(task)
                 task.add_done_callback(open_requests.discard)
         await asyncio.gather(*open_requests)
