--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -545,7 +545,8 @@
             finally:
                 await asyncio.gather(*(it.end() for it in started))
         record("verdict", exit=verdict)
-        print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[verdict])
+        print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[verdict],
+              flush=True)
         return verdict
 
     loop = asyncio.new_event_loop()
