Failed queries do not await server checks beyond their deadline

What callers saw: after a cut of a data centre that resets connections, daemons outside it stopped for good.

Cause: a request whose connection is lost, and that may not be sent again, fails only once its server has been checked (a connection attempt of up to 100 ms). QueryRun::Advance then armed a timer for the deadline. If the deadline passed first, the timer armed itself again for the same past time and Loop::RunDueTimers never returned to the sockets, so that the check could not end either.

Ruled out: a blocked system call or a lock (gdb on the hanging test shows RunDueTimers, ArmTimer's handler, Advance, ArmTimer; the thread runs), and a check that never ends (it has its own timer of 100 ms, which the same loop would have to run).

Change: from the deadline on a failed query is answered without the check (engine::AwaitsChecks). The check goes on and is recorded.

ChecksAreNotAwaitedAtTheDeadline holds the decision.

--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -404,13 +404,15 @@
   StartDeferredParts();
   RequestRemainders();
   const auto progress = Progress();
-  switch (engine::NextStep(progress, deadlines_, context_->loop->now())) {
+  const Millis now = context_->loop->now();
+  switch (engine::NextStep(progress, deadlines_, now)) {
     case GatherStep::kAnswer:
       Answer();
       return;
     case GatherStep::kFail:
       // The caller may retry at once: what its retry meets is decided first.
-      awaiting_checks_ = IsServerCheckPending();
+      awaiting_checks_ =
+          engine::AwaitsChecks(IsServerCheckPending(), deadlines_, now);
       if (awaiting_checks_) {
         ArmTimer();
         return;
--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -112,12 +112,13 @@
     stopping_ = true;
     shutdown(listener_, SHUT_RDWR);
     close(listener_);
-    acceptor_.join();
+    if (acceptor_.joinable()) acceptor_.join();
     {
       const std::lock_guard lock(mutex_);
       for (const int fd : open_) shutdown(fd, SHUT_RDWR);
     }
     for (auto& it : threads_) it.join();
+    for (const int fd : open_) close(fd);
   }
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
@@ -136,6 +137,28 @@
     const std::lock_guard lock(mutex_);
     for (const int fd : open_) shutdown(fd, SHUT_RDWR);
   }
+  // New connections neither open nor fail from now on, as those to a host that
+  // is cut off; open ones continue. Returns whether that was achieved.
+  bool HangNewConnections() {
+    constexpr int kMaxFillers = 8;
+    constexpr int kProbeMs = 20;
+    const sockaddr_in address = Loopback(port_);
+    hanging_ = true;
+    listen(listener_, 0);
+    for (int i = 0; i < kMaxFillers; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      {
+        const std::lock_guard lock(mutex_);
+        open_.push_back(fd);
+      }
+      // The first one ends the acceptor, which could make room again.
+      if (acceptor_.joinable()) acceptor_.join();
+      pollfd wait{fd, POLLOUT, 0};
+      if (poll(&wait, 1, kProbeMs) == 0) return true;
+    }
+    return false;
+  }
   bool has_ended() const { return ended_; }
   std::vector<std::string> requests() {
     const std::lock_guard lock(mutex_);
@@ -151,6 +174,7 @@
       if (fd < 0) return;
       const std::lock_guard lock(mutex_);
       open_.push_back(fd);
+      if (hanging_) return;
       threads_.emplace_back([this, fd] { Serve(fd); });
     }
   }
@@ -200,6 +224,7 @@
   uint16_t port_ = 0;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> ended_{false};
+  std::atomic<bool> hanging_{false};
   std::atomic<int> abandoned_{0};
   std::thread acceptor_;
   std::mutex mutex_;
--- a/packages/engine/include/hibiscuspick/engine/gather.h
+++ b/packages/engine/include/hibiscuspick/engine/gather.h
@@ -53,6 +53,11 @@
 GatherStep NextStep(const GatherProgress& progress,
                     const GatherDeadlines& deadlines, Millis now);
 
+// Whether a query that fails is answered only once the checks of its servers
+// have ended: from the deadline on it is answered without them.
+bool AwaitsChecks(bool checks_pending, const GatherDeadlines& deadlines,
+                  Millis now);
+
 // Merges the `top` greatest records of all bodies, greatest first, compared
 // bytewise as unsigned. Equal records are all kept.
 std::string MergeTop(const std::vector<std::string_view>& bodies, size_t top);
--- a/packages/engine/src/gather.cc
+++ b/packages/engine/src/gather.cc
@@ -38,6 +38,11 @@
   return GatherStep::kWait;
 }
 
+bool AwaitsChecks(bool checks_pending, const GatherDeadlines& deadlines,
+                  Millis now) {
+  return checks_pending && now < deadlines.deadline;
+}
+
 std::string MergeTop(const std::vector<std::string_view>& bodies, size_t top) {
   std::vector<std::string_view> records;
   for (const auto& body : bodies) {
--- a/packages/engine/tests/gather_test.cc
+++ b/packages/engine/tests/gather_test.cc
@@ -69,6 +69,29 @@
   BOOST_TEST((NextStep(row.progress, deadlines, Millis(row.now)) == row.step));
 }
 
+struct ChecksRow {
+  bool checks_pending;
+  double now;
+  bool awaits;
+};
+
+std::ostream& operator<<(std::ostream& out, const ChecksRow& row) {
+  return out << row.checks_pending << " at " << row.now;
+}
+
+const ChecksRow kChecks[] = {
+    {false, 10, false}, {true, 10, true},    {true, 190, true},
+    {true, 1989, true}, {true, 1990, false}, {true, 2090, false},
+};
+
+// Failure: a query waits for a check beyond its deadline.
+BOOST_DATA_TEST_CASE(ChecksAreNotAwaitedAtTheDeadline, bdata::make(kChecks),
+                     row) {
+  const GatherDeadlines deadlines{Millis(190), Millis(1990)};
+  BOOST_TEST(AwaitsChecks(row.checks_pending, deadlines, Millis(row.now)) ==
+             row.awaits);
+}
+
 std::string Record(char first) {
   return std::string(1, first) + "23456789abcdef";
 }
