A timer that sets itself again cannot starve the sockets

Loop::RunDueTimers ran timers as long as the first one was due, also those that were set meanwhile. Any task that sets a timer for a past time kept the loop from its sockets, without end if it did so each time.

Looked for on related paths, by reading: all other timers that set themselves again add an interval to the current time, or are bounded (AllowanceClient after 4 rounds, TransferTimer by its end, StateSynchronizer::ScheduleExpiry, since RemoveExpired removes what is due). None repeats a past time today; nothing prevented it.

Change: an iteration runs the timers that were due when it began. Those that they set run in the next one, after the sockets.

--- a/packages/edge/include/hibiscuspick/edge/loop.h
+++ b/packages/edge/include/hibiscuspick/edge/loop.h
@@ -39,7 +39,8 @@
     return now_;
   }
 
-  // Runs `task` once at or after `when`. Only from the loop's thread.
+  // Runs `task` once at or after `when`; if a timer's task sets it, not before
+  // the next iteration. Only from the loop's thread.
   TimerId RunAt(Millis when, Task task);
   // Cancels a timer. Does nothing if it has fired or `id` is 0.
   void Cancel(TimerId id);
@@ -79,6 +80,8 @@
   std::priority_queue<TimerEntry, std::vector<TimerEntry>, std::greater<>>
       timers_;
   std::unordered_map<TimerId, Task> tasks_;
+  // Timers that the current iteration runs.
+  std::vector<TimerId> due_;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/loop.cc
+++ b/packages/edge/src/loop.cc
@@ -31,9 +31,14 @@
 
 void Loop::RunDueTimers() {
   now_read_ = false;
+  // Timers that these set are run in a later iteration, even if they are due:
+  // one that sets itself again at a past time must not starve the sockets.
+  due_.clear();
   while (!timers_.empty() && timers_.top().when <= now()) {
-    const TimerId id = timers_.top().id;
+    due_.push_back(timers_.top().id);
     timers_.pop();
+  }
+  for (const TimerId id : due_) {
     const auto found = tasks_.find(id);
     if (found == tasks_.end()) continue;
     const Task task = std::move(found->second);
