A refused request is not sent again on the same connection

Cause: a reply is matched to its request by the id alone. A request that a full server refuses keeps its id and may be sent to the same server again, on the connection that just became idle. A late copy of the first refusal then names the right request, and is taken as the reply to the second attempt while the server runs it.

Ruled out: copies on other connections (a copy is sent where the copied reply was), and copies of replies to other requests (their id differs: skipped, and the connection closed). Failures that count as run exclude the server, so that no second attempt meets their copies.

Change: a part remembers the connections on which it was refused (QueryRun::Part::refused_on), and no later attempt of it uses them. If no other idle connection is left, a new one takes the place of one of them.

Same cause on a related path: a refusal without an id matches any request, so that its late copy was taken as the reply to the next request on the connection, of any caller. A connection on which a reply did not name its request is closed after it. By reading: calls to the store and to other instances have no ids, but their servers send no extra replies; requests between instances run on their own connections.

--- a/packages/base/include/hibiscuspick/base/ids.h
+++ b/packages/base/include/hibiscuspick/base/ids.h
@@ -67,6 +67,9 @@
 using TaskId = Number<struct TaskTag>;
 using AttemptId = Number<struct AttemptTag>;
 
+// A connection of this process to a backend server or another instance.
+using ChannelId = Number<struct ChannelTag>;
+
 }  // namespace hibiscuspick
 
 template <class Tag>
--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -48,6 +48,8 @@
   // it.
   std::shared_ptr<engine::ServerView> view;
   AttemptEnd end = AttemptEnd::kNotSent;
+  // The connection it was sent on, if any.
+  ChannelId channel;
   HttpReply reply;
   // Measured from the moment the request was sent.
   Millis latency;
@@ -78,6 +80,9 @@
   const engine::AllowedDataCentres* allowed_data_centres = nullptr;
   // Skips servers that are suspected of a pause.
   bool skip_suspected = false;
+  // Connections on which the request was refused. A late copy of that refusal
+  // could be taken as the reply to this attempt.
+  std::vector<ChannelId> refused_on;
   // Returns the serialised request for the given server.
   std::function<std::string(const BackendServerId&)> serialize_for;
   bool is_head = false;
@@ -85,6 +90,9 @@
   // unlikely to have been closed by the server.
   bool not_idempotent = false;
   HttpChannel::ReplyFilter accepts_reply;
+  // Whether a reply names the request. A connection on which one did not is not
+  // used again: a late copy could be taken as the reply to any request.
+  HttpChannel::ReplyFilter names_request;
   // Asked once the connection stands, if one had to be made; may be null.
   std::function<bool(AttemptId)> may_send;
   // Called before `on_end`, and also for an abandoned attempt, if the
@@ -279,7 +287,7 @@
   // Counts the bytes of the channel if its server is in another data centre.
   void CountRemoteBytes(HttpChannel* channel, const Server& server) const;
   std::shared_ptr<HttpChannel> TakeIdleChannel(Server* server,
-                                               bool not_idempotent);
+                                               const AttemptSpec& spec);
   void ConnectFor(const std::shared_ptr<Server>& server, AttemptId id);
   void SendOnChannel(const std::shared_ptr<HttpChannel>& channel, AttemptId id);
   void OnReply(AttemptId id, ExchangeEnd end, HttpReply reply);
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "hibiscuspick/base/address.h"
+#include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/edge/byte_stream.h"
 #include "hibiscuspick/edge/http_message.h"
@@ -56,6 +57,9 @@
   // counters must outlive the channel.
   void set_byte_counters(const ByteCounters* it) { byte_counters_ = it; }
 
+  // Differs from that of any other channel of the process.
+  ChannelId id() const { return id_; }
+
   // Whether the last Connect failed because nothing listens at the address.
   bool was_refused() const { return stream_->was_refused(); }
 
@@ -78,6 +82,7 @@
   bool ParseReply();
 
   Loop* const loop_;
+  const ChannelId id_;
   std::shared_ptr<ByteStream> stream_;
   std::string buffer_;
   std::unique_ptr<ReplyReader> reader_;
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -210,6 +210,8 @@
     std::vector<BackendServerId> may_have_run_on;
     int refusals = 0;
     std::vector<BackendServerId> refused_by;
+    // The connections of these refusals.
+    std::vector<ChannelId> refused_on;
     std::optional<QueueKey> queue_key;
     bool received = false;
     bool failed = false;
@@ -318,6 +320,7 @@
   // The caller's request without the headers that are set anew for each server.
   HttpRequest UpstreamRequest() const;
   std::string SerializeFor(const BackendServerId& server) const;
+  bool NamesRequest(const HttpReply& reply) const;
   bool MatchesRequest(const HttpReply& reply) const;
   void OnAttempt(size_t i, AttemptResult result);
   bool IsValidReply(const HttpReply& reply) const;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -165,9 +165,9 @@
   attempt->server = server;
   attempt->spec = std::move(spec);
   attempt->sent_at = loop_->now();
-  const bool not_idempotent = attempt->spec.not_idempotent;
+  const auto channel = TakeIdleChannel(server.get(), attempt->spec);
   attempts_.emplace(id, std::move(attempt));
-  if (const auto channel = TakeIdleChannel(server.get(), not_idempotent)) {
+  if (channel) {
     SendOnChannel(channel, id);
   } else {
     ConnectFor(server, id);
@@ -176,24 +176,38 @@
 }
 
 // Takes the connection used last, which is the most likely to be alive.
-std::shared_ptr<HttpChannel> Backends::TakeIdleChannel(Server* server,
-                                                       bool not_idempotent) {
+std::shared_ptr<HttpChannel> Backends::TakeIdleChannel(
+    Server* server, const AttemptSpec& spec) {
+  const Millis max_age =
+      server->idle_timeout * (spec.not_idempotent ? 0.5 : 0.9);
+  const auto was_refused_on = [&](const HttpChannel& it) {
+    return std::find(spec.refused_on.begin(), spec.refused_on.end(), it.id()) !=
+           spec.refused_on.end();
+  };
   auto& idle = server->idle;
-  while (!idle.empty()) {
-    auto channel = idle.back();
+  std::vector<std::shared_ptr<HttpChannel>> skipped;
+  std::shared_ptr<HttpChannel> chosen;
+  while (!idle.empty() && !chosen) {
+    const auto channel = std::move(idle.back());
     idle.pop_back();
     if (!channel->IsIdle()) continue;
-    if (channel->HasEnded()) {
+    const Millis age = loop_->now() - channel->idle_since();
+    if (channel->HasEnded() || age >= max_age) {
       channel->Close();
-      continue;
+    } else if (was_refused_on(*channel)) {
+      skipped.push_back(channel);
+    } else {
+      chosen = channel;
     }
-    const Millis age = loop_->now() - channel->idle_since();
-    const Millis max_age = not_idempotent ? server->idle_timeout * 0.5
-                                          : server->idle_timeout * 0.9;
-    if (age < max_age) return channel;
-    channel->Close();
   }
-  return nullptr;
+  // A new connection takes the place of one of these, so that the number of
+  // connections to the server does not grow.
+  if (!chosen && !skipped.empty()) {
+    skipped.back()->Close();
+    skipped.pop_back();
+  }
+  idle.insert(idle.end(), skipped.rbegin(), skipped.rend());
+  return chosen;
 }
 
 void Backends::ConnectFor(const std::shared_ptr<Server>& server, AttemptId id) {
@@ -259,6 +273,7 @@
   if (end == ExchangeEnd::kReply) {
     RecordContact(server.get());
     ReadIdleTimeout(reply, &server->idle_timeout);
+    if (!found->second->spec.names_request(reply)) channel->Close();
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
   } else {
@@ -276,6 +291,7 @@
   result.server = attempt.server->view.entry.id;
   result.view = {attempt.server, &attempt.server->view};
   result.end = end;
+  if (attempt.channel) result.channel = attempt.channel->id();
   result.latency = now - attempt.sent_at;
   return result;
 }
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -1,5 +1,7 @@
 #include "hibiscuspick/edge/http_channel.h"
 
+#include <atomic>
+#include <cstdint>
 #include <utility>
 
 namespace hibiscuspick::edge {
@@ -7,10 +9,14 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+std::atomic<uint64_t> last_channel_id{0};
+
 }  // namespace
 
 HttpChannel::HttpChannel(Loop* loop)
-    : loop_(loop), stream_(std::make_shared<ByteStream>(loop)) {}
+    : loop_(loop),
+      id_(++last_channel_id),
+      stream_(std::make_shared<ByteStream>(loop)) {}
 
 void HttpChannel::Connect(const Address& address, Millis timeout,
                           std::function<void(bool)> done) {
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -242,6 +242,7 @@
   spec.is_head = request_.method == "HEAD";
   spec.not_idempotent = route_->idempotency == Idempotency::kNotIdempotent;
   const auto self = shared_from_this();
+  spec.refused_on = parts_[i].refused_on;
   spec.serialize_for = [self, i](const BackendServerId& server) {
     self->parts_[i].may_have_run_on.push_back(server);
     return self->SerializeFor(server);
@@ -249,6 +250,9 @@
   spec.accepts_reply = [self](const HttpReply& reply) {
     return self->MatchesRequest(reply);
   };
+  spec.names_request = [self](const HttpReply& reply) {
+    return self->NamesRequest(reply);
+  };
   spec.on_end = [self, i](AttemptResult result) {
     self->OnAttempt(i, std::move(result));
   };
@@ -286,11 +290,16 @@
   return ToText(sent);
 }
 
+bool QueryRun::NamesRequest(const HttpReply& reply) const {
+  const auto id = FindHeader(reply.headers, context_->names->request_id);
+  return !id.empty() && id == request_id_;
+}
+
 // A reply with another request's id is a late or duplicate reply to that
 // request.
 bool QueryRun::MatchesRequest(const HttpReply& reply) const {
-  const auto id = FindHeader(reply.headers, context_->names->request_id);
-  return id.empty() || id == request_id_;
+  return NamesRequest(reply) ||
+         FindHeader(reply.headers, context_->names->request_id).empty();
 }
 
 bool QueryRun::IsValidReply(const HttpReply& reply) const {
@@ -369,6 +378,7 @@
     if (result.end == AttemptEnd::kReply) {
       ++part.refusals;
       part.refused_by.push_back(result.server);
+      part.refused_on.push_back(result.channel);
     }
   }
   RetryPart(i, may_have_run);
--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -89,6 +89,8 @@
 struct ScriptedReply {
   // Sent unchanged.
   std::string text;
+  // Sends the text once more where the connection's next reply is expected.
+  bool repeats_late = false;
   // Closes the connection after the text.
   bool closes = false;
   // Closes the connection with a reset after the text.
@@ -164,6 +166,8 @@
     const std::lock_guard lock(mutex_);
     return requests_;
   }
+  // Number of connections accepted.
+  int connections() const { return connections_; }
   // Number of connections that the peer closed while a request was unanswered.
   int abandoned() const { return abandoned_; }
 
@@ -175,11 +179,13 @@
       const std::lock_guard lock(mutex_);
       open_.push_back(fd);
       if (hanging_) return;
+      ++connections_;
       threads_.emplace_back([this, fd] { Serve(fd); });
     }
   }
   void Serve(int fd) {
     std::string buffer;
+    std::string late_text;
     char buf[4096];
     while (true) {
       const size_t end = buffer.find("\r\n\r\n");
@@ -206,7 +212,9 @@
         if (recv(fd, buf, sizeof(buf), 0) <= 0) ++abandoned_;
         break;
       }
-      (void)send(fd, reply.text.data(), reply.text.size(), MSG_NOSIGNAL);
+      const std::string text = std::exchange(late_text, "") + reply.text;
+      (void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      if (reply.repeats_late) late_text = reply.text;
       if (reply.resets) {
         const linger abort_on_close{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
@@ -225,6 +233,7 @@
   std::atomic<bool> stopping_{false};
   std::atomic<bool> ended_{false};
   std::atomic<bool> hanging_{false};
+  std::atomic<int> connections_{0};
   std::atomic<int> abandoned_{0};
   std::thread acceptor_;
   std::mutex mutex_;
