Messages are read within limits, whatever part of them has no end

What callers saw: a reply with a huge Content-Length ended the process with bad_alloc, so that all requests in progress there were lost.

Causes: - Beast checks an announced length when the headers end, but goes on to the body in the same call if it reads eagerly, and the error is overwritten. It then reserves the announced length. - Only headers and bodies had limits. A chunk header and the trailers are kept until they are whole, at any size; chunk framing, interim replies and replies to other requests were not counted at all. - Replies may be within their own limits while all of them together use up the memory. - An exception in a handler of received bytes left the loop. - A rejected caller's bytes were read and dropped for 500 ms without limit.

Change: headers are parsed by themselves, so that the announced length is checked; an element that must be whole may have the size of the headers; a message with its framing may have twice the limits of its headers and body (MessageLimits). An exception ends the one connection, is logged and counted. At most 1 MiB is dropped after a rejection. Readers of servers', peers', the store's and callers' messages are the same.

Such a reply is no answer: the attempt may have run and counts as a failure of its server. Counters by element, a log line with request, server, element and bytes.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -64,6 +65,8 @@
 };
 
 struct AttemptSpec {
+  // For log lines. Owned by what the callbacks keep alive.
+  std::string_view request_id;
   ServiceId service;
   // The service whose budget of extra attempts pays for a second attempt.
   ServiceId budget_service;
@@ -291,6 +294,7 @@
   void ConnectFor(const std::shared_ptr<Server>& server, AttemptId id);
   void SendOnChannel(const std::shared_ptr<HttpChannel>& channel, AttemptId id);
   void OnReply(AttemptId id, ExchangeEnd end, HttpReply reply);
+  void LogOversizedReply(const Attempt& attempt);
   void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply,
                   bool connection_lost = false);
   static AttemptResult ResultOf(AttemptId id, const Attempt& attempt,
@@ -358,6 +362,8 @@
   uint64_t keys_generation_ = 0;
   Random evidence_random_{static_cast<uint64_t>(SteadyNow().count * 1000)};
   LineBudget belief_lines_{5, 50, 50};
+  LineBudget oversized_lines_{5, 50, 50};
+  ReplyMemory reply_memory_{kMaxReplyMemory};
   // Time of the last contact with a server in another data centre, and the
   // number of failed attempts at such servers since.
   Millis last_remote_contact_;
--- a/packages/edge/include/hibiscuspick/edge/byte_stream.h
+++ b/packages/edge/include/hibiscuspick/edge/byte_stream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,7 +24,8 @@
 
 // Waits until the socket is readable and then reads into a buffer shared by all
 // streams of the thread, so that an idle connection holds no buffer. Handlers
-// may close the stream; none is called after Close. Create with
+// may close the stream; none is called after Close. An exception of `on_bytes`
+// is logged and ends the stream as kBroken. Create with
 // std::make_shared, since pending waits keep the stream alive.
 class ByteStream : public std::enable_shared_from_this<ByteStream> {
  public:
@@ -73,6 +75,7 @@
   void WaitWritable();
   void Flush();
   void End(StreamEnd how);
+  void EndWith(const std::exception& error);
   void Linger();
 
   Loop* const loop_;
@@ -82,6 +85,7 @@
   size_t bytes_written_ = 0;
   bool close_when_flushed_ = false;
   bool lingering_ = false;
+  size_t linger_bytes_ = 0;
   bool was_refused_ = false;
   Loop::TimerId timer_ = 0;
 };
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -9,6 +9,7 @@
 #include "hibiscuspick/base/ids.h"
 #include "hibiscuspick/base/millis.h"
 #include "hibiscuspick/edge/byte_stream.h"
+#include "hibiscuspick/edge/exchange_limits.h"
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/remote_traffic.h"
@@ -22,6 +23,8 @@
   kBroken,
   // The reply was malformed; the connection was closed by this side.
   kMalformed,
+  // The reply exceeded a limit; the connection was closed by this side.
+  kTooLarge,
   // The connection broke before the kernel had accepted any byte of the
   // request.
   kUnsent,
@@ -45,7 +48,11 @@
   struct Exchange {
     std::string text;
     bool is_head = false;
+    // Of the body. Reading stops once the limits of MessageLimits or
+    // kMaxExtraReplies are exceeded.
     size_t max_reply_bytes = 0;
+    // Memory that the reply shares with others; may be null.
+    ReplyMemory* memory = nullptr;
     ReplyFilter accepts_reply;
     OnReply on_reply;
   };
@@ -72,6 +79,10 @@
   Millis idle_since() const { return idle_since_; }
   // Bytes received since the last request was sent.
   size_t reply_bytes() const { return reply_bytes_; }
+  // What exceeded its limit in the last exchange that ended with kTooLarge.
+  LimitedElement exceeded() const { return exceeded_; }
+  // Ends the exchange in flight with kTooLarge.
+  void Exceed(LimitedElement element);
   // Closes the connection. A request in flight gets no callback.
   void Close();
 
@@ -80,6 +91,8 @@
   void OnEnd(StreamEnd how);
   void Finish(ExchangeEnd end, HttpReply reply);
   bool ParseReply();
+  std::unique_ptr<ReplyReader> MakeReader() const;
+  bool IsWithinLimits();
 
   Loop* const loop_;
   const ChannelId id_;
@@ -90,6 +103,8 @@
   Millis idle_since_;
   size_t written_before_ = 0;
   size_t reply_bytes_ = 0;
+  int extra_replies_ = 0;
+  LimitedElement exceeded_ = LimitedElement::kBody;
   const ByteCounters* byte_counters_ = nullptr;
   bool open_ = false;
   bool busy_ = false;
--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -64,8 +64,28 @@
 std::vector<Header> EndToEndHeaders(const std::vector<Header>& headers);
 
 // State of a reader. The errors correspond to a status: 400 for a malformed
-// message, 431 for too large headers, 413 for too large a body.
-enum class ReadState { kMore, kDone, kMalformed, kHeaderTooBig, kBodyTooBig };
+// message, 431 for too large headers, 413 for too large a body or its framing:
+// the chunk headers and trailers.
+enum class ReadState {
+  kMore,
+  kDone,
+  kMalformed,
+  kHeaderTooBig,
+  kBodyTooBig,
+  kFramingTooBig
+};
+
+// What a reader may hold of one message. An element that must be whole before
+// it is parsed (the headers, a chunk header, the trailers) may have
+// `header_bytes`, and the message with its framing twice the sum of both.
+struct MessageLimits {
+  size_t header_bytes = 0;
+  size_t body_bytes = 0;
+};
+
+// Limit of the headers of a reply. Larger than that of requests, since backend
+// servers are trusted.
+inline constexpr size_t kMaxReplyHeaderBytes = 65536;
 
 // Parses one request. Rejects ambiguous messages (two lengths, a length
 // together with chunked encoding, bare LF line ends): a backend server that
@@ -73,7 +93,7 @@
 // smuggling).
 class RequestReader {
  public:
-  RequestReader(size_t header_bytes, size_t body_bytes);
+  explicit RequestReader(const MessageLimits& limits);
   ~RequestReader();
   RequestReader(const RequestReader&) = delete;
   RequestReader& operator=(const RequestReader&) = delete;
@@ -96,7 +116,7 @@
 class ReplyReader {
  public:
   // `is_head`: the reply is to a HEAD request and has no body.
-  ReplyReader(bool is_head, size_t body_bytes);
+  ReplyReader(bool is_head, const MessageLimits& limits);
   ~ReplyReader();
   ReplyReader(const ReplyReader&) = delete;
   ReplyReader& operator=(const ReplyReader&) = delete;
--- a/packages/edge/include/hibiscuspick/edge/loop.h
+++ b/packages/edge/include/hibiscuspick/edge/loop.h
@@ -17,6 +17,8 @@
 
 namespace hibiscuspick::edge {
 
+class ExchangeCounters;
+
 // Asio timers reprogram a kernel timer whenever the earliest one changes, which
 // costs a system call for most attempts. Here the wait for sockets times out at
 // the next timer instead, without an extra call.
@@ -52,6 +54,15 @@
   // rather than waiting. Only from the loop's thread.
   double TakeUtilisation();
 
+  // Counters of the connections on this loop; null to count nothing. They must
+  // outlive the loop's last task.
+  void set_exchange_counters(const ExchangeCounters* it) {
+    exchange_counters_ = it;
+  }
+  const ExchangeCounters* exchange_counters() const {
+    return exchange_counters_;
+  }
+
   // Runs until Stop, which may be called from any thread.
   void Run();
   void Stop();
@@ -71,6 +82,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       guard_;
   std::atomic<bool> stopped_{false};
+  const ExchangeCounters* exchange_counters_ = nullptr;
   mutable Millis now_;
   mutable bool now_read_ = false;
   // Start of the current utilisation measurement and the busy time since.
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hibiscuspick/base/ids.h"
+#include "hibiscuspick/base/log_sink.h"
 #include "hibiscuspick/edge/http_channel.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/prober.h"
@@ -174,6 +175,7 @@
   std::map<InstanceId, Millis> last_contact_;
   // Peers that could not be reached, and until when they get no queries.
   std::map<InstanceId, Millis> backoff_until_;
+  LineBudget oversized_lines_{5, 50, 50};
   std::map<DataCentreId, engine::RelayHealth> relay_health_;
   struct UtilisationReport {
     double utilisation = 0;
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -78,6 +78,10 @@
 
   // Registry in which other components of the process add their metrics.
   metrics::Registry* registry() { return metrics_.registry(); }
+  // For the other loops of the process.
+  const ExchangeCounters* exchange_counters() const {
+    return &exchange_counters_;
+  }
   const RemoteTraffic& remote_traffic() const { return remote_traffic_; }
 
   // Puts a configuration or server list in force; call on the loop's thread. A
@@ -244,6 +248,7 @@
   Loop* const loop_;
   const TrafficSettings settings_;
   QueryMetrics metrics_;
+  ExchangeCounters exchange_counters_;
   RemoteTraffic remote_traffic_;
   Prober prober_;
   Backends backends_;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -258,6 +258,7 @@
   exchange.text = attempt.spec.serialize_for(attempt.server->view.entry.id);
   exchange.is_head = attempt.spec.is_head;
   exchange.max_reply_bytes = policy_.max_reply_bytes;
+  exchange.memory = &reply_memory_;
   exchange.accepts_reply = attempt.spec.accepts_reply;
   exchange.on_reply = [this, id](ExchangeEnd end, HttpReply reply) {
     OnReply(id, end, std::move(reply));
@@ -277,6 +278,7 @@
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
   } else {
+    if (end == ExchangeEnd::kTooLarge) LogOversizedReply(*found->second);
     EndAttempt(id,
                end == ExchangeEnd::kUnsent ? AttemptEnd::kNotSent
                                            : AttemptEnd::kBroken,
@@ -284,6 +286,18 @@
   }
 }
 
+void Backends::LogOversizedReply(const Attempt& attempt) {
+  if (!TakeLine(&oversized_lines_, loop_->now())) return;
+  Log(Part::kBackend)
+      .warn(
+          "request {}: reply of server {} of service {} exceeds the limit of "
+          "{}: {} bytes read",
+          attempt.spec.request_id, attempt.server->view.entry.id.text,
+          attempt.server->view.entry.service.text,
+          ElementName(attempt.channel->exceeded()),
+          attempt.channel->reply_bytes());
+}
+
 AttemptResult Backends::ResultOf(AttemptId id, const Attempt& attempt,
                                  AttemptEnd end, Millis now) {
   AttemptResult result;
--- a/packages/edge/src/byte_stream.cc
+++ b/packages/edge/src/byte_stream.cc
@@ -7,8 +7,12 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <cerrno>
+#include <exception>
 #include <utility>
 
+#include "hibiscuspick/base/log.h"
+#include "hibiscuspick/edge/exchange_limits.h"
+
 namespace hibiscuspick::edge {
 namespace {
 
@@ -26,9 +30,10 @@
 constexpr unsigned kUnackedTimeoutMillis = 4000;
 
 // How long to wait for the peer's end of stream after shutting down the send
-// side. Closing with unread bytes would reset the connection and could discard
-// the last answer in the peer's buffer.
+// side, and how much to discard meanwhile. Closing with unread bytes would
+// reset the connection and could discard the last answer in the peer's buffer.
 constexpr Millis kLingerTime{500};
+constexpr size_t kMaxLingerBytes = 1 << 20;
 
 std::array<char, kReadBufferBytes>& SharedBuffer() {
   thread_local std::array<char, kReadBufferBytes> buf;
@@ -141,14 +146,35 @@
     End(ec == asio::error::eof ? StreamEnd::kOrderly : StreamEnd::kBroken);
     return;
   }
-  if (!lingering_ && handlers_.on_bytes) {
+  if (lingering_) {
+    linger_bytes_ += n;
+    if (linger_bytes_ > kMaxLingerBytes) Close();
+  } else if (handlers_.on_bytes) {
     // Copied because the handler may close the stream, which destroys it.
     const auto on_bytes = handlers_.on_bytes;
-    on_bytes(std::string_view(buf.data(), n));
+    try {
+      on_bytes(std::string_view(buf.data(), n));
+    } catch (const std::exception& error) {
+      EndWith(error);
+      return;
+    }
   }
   WaitReadable();
 }
 
+// Ends this connection alone: an exception that left the loop would end the
+// process.
+void ByteStream::EndWith(const std::exception& error) {
+  Code ec;
+  const auto peer = socket_.remote_endpoint(ec);
+  Log(Part::kFront)
+      .error("connection with {}:{} closed: exception {}",
+             ec ? "?" : peer.address().to_string(), ec ? 0 : peer.port(),
+             error.what());
+  if (const auto* it = loop_->exchange_counters()) it->CountException();
+  End(StreamEnd::kBroken);
+}
+
 void ByteStream::Write(const std::string& text) {
   if (!IsOpen() || close_when_flushed_) return;
   const bool waiting = !unsent_.empty();
--- /dev/null
+++ b/packages/edge/src/exchange_limits.cc
@@ -0,0 +1,62 @@
+#include "hibiscuspick/edge/exchange_limits.h"
+
+#include <algorithm>
+#include <string>
+
+namespace hibiscuspick::edge {
+namespace {
+
+// In the order of LimitedElement.
+constexpr std::array<std::string_view, kLimitedElementCount> kElementNames = {
+    "headers", "body", "framing", "extra_replies", "reply_memory"};
+
+// Replies below this are not recorded, so that the usual ones cost nothing.
+constexpr size_t kMinRecordedBytes = 32768;
+
+}  // namespace
+
+std::string_view ElementName(LimitedElement element) {
+  return kElementNames[static_cast<size_t>(element)];
+}
+
+LimitedElement ElementOf(ReadState state) {
+  return state == ReadState::kHeaderTooBig ? LimitedElement::kHeaders
+         : state == ReadState::kBodyTooBig ? LimitedElement::kBody
+                                           : LimitedElement::kFraming;
+}
+
+ExchangeCounters::ExchangeCounters(metrics::Registry* registry)
+    : exceptions_(&registry->GetCounter(
+          "hibiscuspick_edge_exchange_exceptions_total",
+          "Connections that were closed because of an exception")) {
+  for (size_t i = 0; i < kLimitedElementCount; ++i) {
+    const metrics::Labels labels = {{"element", std::string(kElementNames[i])}};
+    requests_[i] = &registry->GetCounter(
+        "hibiscuspick_edge_oversized_requests_total",
+        "Requests that exceeded a limit, by what exceeded it", labels);
+    replies_[i] = &registry->GetCounter(
+        "hibiscuspick_edge_oversized_replies_total",
+        "Replies that exceeded a limit, by what exceeded it", labels);
+  }
+}
+
+HttpChannel* ReplyMemory::Update(HttpChannel* channel, size_t n) {
+  if (n < kMinRecordedBytes) return nullptr;
+  auto& held = by_channel_[channel];
+  bytes_ += n - held;
+  held = n;
+  if (bytes_ <= max_bytes_) return nullptr;
+  const auto largest =
+      std::max_element(by_channel_.begin(), by_channel_.end(),
+                       [](auto& a, auto& b) { return a.second < b.second; });
+  return largest->first;
+}
+
+void ReplyMemory::Remove(HttpChannel* channel) {
+  const auto found = by_channel_.find(channel);
+  if (found == by_channel_.end()) return;
+  bytes_ -= found->second;
+  by_channel_.erase(found);
+}
+
+}  // namespace hibiscuspick::edge
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -32,13 +32,19 @@
   });
 }
 
+std::unique_ptr<ReplyReader> HttpChannel::MakeReader() const {
+  return std::make_unique<ReplyReader>(
+      exchange_.is_head,
+      MessageLimits{kMaxReplyHeaderBytes, exchange_.max_reply_bytes});
+}
+
 void HttpChannel::Send(Exchange exchange) {
   busy_ = true;
   exchange_ = std::move(exchange);
-  reader_ = std::make_unique<ReplyReader>(exchange_.is_head,
-                                          exchange_.max_reply_bytes);
+  reader_ = MakeReader();
   written_before_ = stream_->bytes_written();
   reply_bytes_ = 0;
+  extra_replies_ = 0;
   if (byte_counters_) byte_counters_->sent->Add(exchange_.text.size());
   stream_->Write(std::exchange(exchange_.text, std::string()));
 }
@@ -53,29 +59,55 @@
   buffer_.append(bytes);
   while (busy_ && !buffer_.empty() && ParseReply()) {
   }
+  if (busy_ && !IsWithinLimits()) Exceed(LimitedElement::kExtraReplies);
+  if (!busy_ || exchange_.memory == nullptr) return;
+  HttpChannel* largest = exchange_.memory->Update(this, reply_bytes_);
+  if (largest) largest->Exceed(LimitedElement::kReplyMemory);
 }
 
 // Parses buffered bytes. Returns true if a reply to another request was
 // skipped.
 bool HttpChannel::ParseReply() {
   const ReadState state = reader_->Read(&buffer_);
-  if (state == ReadState::kMore) return false;
-  if (state != ReadState::kDone) {
-    Finish(ExchangeEnd::kMalformed, {});
-    return false;
+  switch (state) {
+    case ReadState::kMore:
+      return false;
+    case ReadState::kMalformed:
+      Finish(ExchangeEnd::kMalformed, {});
+      return false;
+    case ReadState::kHeaderTooBig:
+    case ReadState::kBodyTooBig:
+    case ReadState::kFramingTooBig:
+      Exceed(ElementOf(state));
+      return false;
+    case ReadState::kDone:
+      break;
   }
   HttpReply reply = reader_->Take();
   const bool interim = reply.status < kFirstFinalStatus;
   if (interim || (exchange_.accepts_reply && !exchange_.accepts_reply(reply))) {
     skipped_reply_ = skipped_reply_ || !interim;
-    reader_ = std::make_unique<ReplyReader>(exchange_.is_head,
-                                            exchange_.max_reply_bytes);
-    return true;
+    ++extra_replies_;
+    reader_ = MakeReader();
+    return IsWithinLimits();
   }
   Finish(ExchangeEnd::kReply, std::move(reply));
   return false;
 }
 
+// Whether the replies before the one to this request are few and small enough.
+bool HttpChannel::IsWithinLimits() {
+  return extra_replies_ <= kMaxExtraReplies &&
+         reply_bytes_ <= 2 * (kMaxReplyHeaderBytes + exchange_.max_reply_bytes);
+}
+
+void HttpChannel::Exceed(LimitedElement element) {
+  if (!busy_) return;
+  exceeded_ = element;
+  if (const auto* it = loop_->exchange_counters()) it->CountReply(element);
+  Finish(ExchangeEnd::kTooLarge, {});
+}
+
 void HttpChannel::OnEnd(StreamEnd how) {
   open_ = false;
   if (!busy_) return;
@@ -96,6 +128,7 @@
   const bool reusable = end == ExchangeEnd::kReply && reply.keep_alive &&
                         !reply.until_close && !skipped_reply_ &&
                         buffer_.empty() && stream_->IsFlushed();
+  if (exchange_.memory) exchange_.memory->Remove(this);
   const auto on_reply = std::exchange(exchange_.on_reply, nullptr);
   exchange_ = {};
   if (!reusable) Close();
@@ -105,6 +138,8 @@
 void HttpChannel::Close() {
   open_ = false;
   busy_ = false;
+  if (exchange_.memory) exchange_.memory->Remove(this);
+  exchange_.memory = nullptr;
   exchange_.on_reply = nullptr;
   stream_->Close();
 }
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -27,24 +27,26 @@
   return {it.data(), it.size()};
 }
 
-// Replies may have larger headers than requests, since backend servers are
-// trusted.
-constexpr size_t kReplyHeaderBytes = 65536;
-
+// The parser takes part of the bytes in each call. Its check of an announced
+// length is lost if it goes on to the body in the same call, so that it reads
+// the headers by themselves.
 template <class Parser>
-ReadState ParseInto(Parser* parser, std::string* buf) {
+size_t Feed(Parser* parser, const std::string& buf,
+            boost::system::error_code* ec) {
   size_t consumed = 0;
-  boost::system::error_code ec;
-  while (!parser->is_done() && consumed < buf->size()) {
+  while (!parser->is_done() && consumed < buf.size()) {
+    parser->eager(parser->is_header_done());
     const size_t n = parser->put(
-        boost::asio::buffer(buf->data() + consumed, buf->size() - consumed),
-        ec);
+        boost::asio::buffer(buf.data() + consumed, buf.size() - consumed), *ec);
     consumed += n;
-    if (ec) break;
-    if (n == 0) break;
+    if (*ec || n == 0) break;
   }
-  buf->erase(0, consumed);
-  if (parser->is_done() && (!ec || ec == http::error::need_more)) {
+  return consumed;
+}
+
+template <class Parser>
+ReadState StateOf(const Parser& parser, const boost::system::error_code& ec) {
+  if (parser.is_done() && (!ec || ec == http::error::need_more)) {
     return ReadState::kDone;
   }
   if (!ec || ec == http::error::need_more) return ReadState::kMore;
@@ -53,6 +55,37 @@
   return ReadState::kMalformed;
 }
 
+// A parser with the limits that it does not check by itself.
+template <class Parser>
+class LimitedParser {
+ public:
+  explicit LimitedParser(const MessageLimits& limits) : limits_(limits) {
+    parser_.header_limit(static_cast<uint32_t>(limits.header_bytes));
+    parser_.body_limit(limits.body_bytes);
+  }
+  Parser& parser() { return parser_; }
+
+  ReadState Read(std::string* buf) {
+    boost::system::error_code ec;
+    const size_t consumed = Feed(&parser_, *buf, &ec);
+    buf->erase(0, consumed);
+    bytes_read_ += consumed;
+    const ReadState state = StateOf(parser_, ec);
+    if (state != ReadState::kMore) return state;
+    const bool framing_too_big =
+        buf->size() > limits_.header_bytes ||
+        bytes_read_ > 2 * (limits_.header_bytes + limits_.body_bytes);
+    if (!framing_too_big) return state;
+    return parser_.is_header_done() ? ReadState::kFramingTooBig
+                                    : ReadState::kHeaderTooBig;
+  }
+
+ private:
+  const MessageLimits limits_;
+  Parser parser_;
+  size_t bytes_read_ = 0;
+};
+
 template <class Message>
 std::vector<Header> HeadersOf(const Message& message) {
   std::vector<Header> headers;
@@ -131,35 +164,33 @@
   return kept;
 }
 
-struct RequestReader::Impl {
-  http::request_parser<http::string_body> parser;
+struct RequestReader::Impl
+    : LimitedParser<http::request_parser<http::string_body>> {
+  using LimitedParser::LimitedParser;
   bool started = false;
 };
 
-RequestReader::RequestReader(size_t header_bytes, size_t body_bytes)
-    : impl_(std::make_unique<Impl>()) {
-  impl_->parser.eager(true);
-  impl_->parser.header_limit(static_cast<uint32_t>(header_bytes));
-  impl_->parser.body_limit(body_bytes);
-}
+RequestReader::RequestReader(const MessageLimits& limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
 
 RequestReader::~RequestReader() = default;
 
 ReadState RequestReader::Read(std::string* buf) {
   if (!buf->empty()) impl_->started = true;
-  return ParseInto(&impl_->parser, buf);
+  return impl_->Read(buf);
 }
 
 bool RequestReader::started() const { return impl_->started; }
 
 bool RequestReader::ExpectsContinue() const {
-  if (!impl_->parser.is_header_done() || impl_->parser.is_done()) return false;
-  const auto value = impl_->parser.get()[http::field::expect];
+  const auto& parser = impl_->parser();
+  if (!parser.is_header_done() || parser.is_done()) return false;
+  const auto value = parser.get()[http::field::expect];
   return EqualsIgnoreCase({value.data(), value.size()}, "100-continue");
 }
 
 HttpRequest RequestReader::Take() {
-  auto& message = impl_->parser.get();
+  auto& message = impl_->parser().get();
   HttpRequest request;
   request.method = ToString(message.method_string());
   request.target = ToString(message.target());
@@ -169,34 +200,30 @@
   return request;
 }
 
-struct ReplyReader::Impl {
-  http::response_parser<http::string_body> parser;
+struct ReplyReader::Impl
+    : LimitedParser<http::response_parser<http::string_body>> {
+  using LimitedParser::LimitedParser;
 };
 
-ReplyReader::ReplyReader(bool is_head, size_t body_bytes)
-    : impl_(std::make_unique<Impl>()) {
-  impl_->parser.eager(true);
-  impl_->parser.skip(is_head);
-  impl_->parser.header_limit(kReplyHeaderBytes);
-  impl_->parser.body_limit(body_bytes);
+ReplyReader::ReplyReader(bool is_head, const MessageLimits& limits)
+    : impl_(std::make_unique<Impl>(limits)) {
+  impl_->parser().skip(is_head);
 }
 
 ReplyReader::~ReplyReader() = default;
 
-ReadState ReplyReader::Read(std::string* buf) {
-  return ParseInto(&impl_->parser, buf);
-}
+ReadState ReplyReader::Read(std::string* buf) { return impl_->Read(buf); }
 
 ReadState ReplyReader::ReadEnd() {
   boost::system::error_code ec;
-  if (!impl_->parser.got_some()) return ReadState::kMalformed;
-  impl_->parser.put_eof(ec);
-  return ec || !impl_->parser.is_done() ? ReadState::kMalformed
-                                        : ReadState::kDone;
+  auto& parser = impl_->parser();
+  if (!parser.got_some()) return ReadState::kMalformed;
+  parser.put_eof(ec);
+  return ec || !parser.is_done() ? ReadState::kMalformed : ReadState::kDone;
 }
 
 HttpReply ReplyReader::Take() {
-  auto& message = impl_->parser.get();
+  auto& message = impl_->parser().get();
   HttpReply reply;
   reply.status = static_cast<int>(message.result_int());
   reply.headers = HeadersOf(message);
--- a/packages/edge/src/http_session.cc
+++ b/packages/edge/src/http_session.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "hibiscuspick/edge/exchange_limits.h"
+
 namespace hibiscuspick::edge {
 namespace {
 
@@ -65,8 +67,8 @@
   if (buffer_.empty()) return;
   const auto limits = policy_->limits();
   if (!reader_) {
-    reader_ =
-        std::make_unique<RequestReader>(limits.header_bytes, limits.body_bytes);
+    reader_ = std::make_unique<RequestReader>(
+        MessageLimits{limits.header_bytes, limits.body_bytes});
     sent_continue_ = false;
     loop_->Cancel(timer_);
     timer_ = loop_->RunAt(loop_->now() + limits.header_timeout,
@@ -105,8 +107,13 @@
   HttpReply reply;
   reply.status = state == ReadState::kMore           ? 408
                  : state == ReadState::kHeaderTooBig ? 431
-                 : state == ReadState::kBodyTooBig   ? 413
-                                                     : 400;
+                 : state == ReadState::kMalformed    ? 400
+                                                     : 413;
+  const auto* counters = loop_->exchange_counters();
+  if (counters != nullptr && state != ReadState::kMore &&
+      state != ReadState::kMalformed) {
+    counters->CountRequest(ElementOf(state));
+  }
   stream_->Write(ToText(reply, true, false));
   End();
 }
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -400,6 +400,13 @@
   exchange.is_head = query->is_head;
   exchange.max_reply_bytes = kMaxAnswerBytes;
   exchange.on_reply = [this, query](ExchangeEnd end, HttpReply reply) {
+    if (end == ExchangeEnd::kTooLarge &&
+        TakeLine(&oversized_lines_, loop_->now())) {
+      Log(Part::kMembers)
+          .warn("answer of {} exceeds the limit of {}: {} bytes read",
+                query->peer.id.text, ElementName(query->channel->exceeded()),
+                query->channel->reply_bytes());
+    }
     if (end != ExchangeEnd::kReply) {
       Finish(query,
              end == ExchangeEnd::kUnsent ? ForwardResult::kNotStarted
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -231,6 +231,7 @@
 
 AttemptSpec QueryRun::AttemptSpecFor(size_t i) {
   AttemptSpec spec;
+  spec.request_id = request_id_;
   spec.service = parts_[i].service;
   spec.budget_service = budget_service_;
   spec.median_latency = route_latency_->median;
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -36,6 +36,7 @@
 TrafficServer::TrafficServer(Loop* loop, TrafficSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
+      exchange_counters_(metrics_.registry()),
       remote_traffic_(metrics_.registry()),
       prober_(loop, settings_.backends.choice.own_data_centre,
               settings_.backends.mechanisms.reachability_probes),
@@ -68,6 +69,7 @@
   prober_.set_on_isolated([this](bool isolated) {
     if (on_cut_off_) on_cut_off_(isolated && IsUnableToServe());
   });
+  loop->set_exchange_counters(&exchange_counters_);
   context_.loop = loop;
   context_.backends = &backends_;
   context_.names = &settings_.names;
--- a/packages/edge/tests/caller_identity_test.cc
+++ b/packages/edge/tests/caller_identity_test.cc
@@ -100,7 +100,7 @@
   size_t granted = 0;
   for (int i = 0; i < 30000; ++i) {
     auto text = testing::Mutate(good, kTokens, &random);
-    RequestReader reader(16384, 1000);
+    RequestReader reader({16384, 1000});
     if (reader.Read(&text) != ReadState::kDone) continue;
     HttpRequest request = reader.Take();
     const bool has_key = std::any_of(
--- a/packages/edge/tests/identity_traffic_test.cc
+++ b/packages/edge/tests/identity_traffic_test.cc
@@ -116,7 +116,7 @@
 
 // Values of all headers of that name, in any case, joined by commas.
 std::string AllValues(const std::string& text, const std::string& name) {
-  RequestReader reader(65536, 65536);
+  RequestReader reader({65536, 65536});
   std::string rest = text;
   if (reader.Read(&rest) != ReadState::kDone) return "unreadable";
   std::string values;
--- a/packages/edge/tests/raw_sockets.h
+++ b/packages/edge/tests/raw_sockets.h
@@ -64,6 +64,17 @@
   void Send(const std::string& text) {
     (void)send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
   }
+  // Sends all of the text; false if the peer has closed the connection.
+  bool SendAll(const std::string& text) {
+    size_t n = 0;
+    while (n < text.size()) {
+      const ssize_t sent =
+          send(fd_, text.data() + n, text.size() - n, MSG_NOSIGNAL);
+      if (sent <= 0) return false;
+      n += static_cast<size_t>(sent);
+    }
+    return true;
+  }
   // Receives until the peer closes, `until` is found or nothing arrives for ten
   // seconds.
   std::string Receive(const std::string& until = "") {
@@ -91,12 +102,16 @@
   std::string text;
   // Sends the text once more where the connection's next reply is expected.
   bool repeats_late = false;
+  // Sends this after the text until the peer closes, if it is not empty.
+  std::string endless = {};
   // Closes the connection after the text.
   bool closes = false;
   // Closes the connection with a reset after the text.
   bool resets = false;
   // Sends nothing and waits until the peer closes.
   bool silent = false;
+  // Sends the text and waits until the peer closes.
+  bool waits = false;
   // Ends the server instead of replying; see RawServer::End.
   bool ends = false;
   int wait_ms = 0;
@@ -183,6 +198,16 @@
       threads_.emplace_back([this, fd] { Serve(fd); });
     }
   }
+  void SendEndlessly(int fd, const std::string& text) {
+    std::string block;
+    while (block.size() < text.size() + 32768) block += text;
+    ssize_t n = 0;
+    size_t at = 0;
+    do {
+      n = send(fd, block.data() + at, block.size() - at, MSG_NOSIGNAL);
+      at = n > 0 ? (at + static_cast<size_t>(n)) % block.size() : at;
+    } while (n > 0 && !stopping_);
+  }
   void Serve(int fd) {
     std::string buffer;
     std::string late_text;
@@ -214,7 +239,15 @@
       }
       const std::string text = std::exchange(late_text, "") + reply.text;
       (void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      if (!reply.endless.empty()) {
+        SendEndlessly(fd, reply.endless);
+        break;
+      }
       if (reply.repeats_late) late_text = reply.text;
+      if (reply.waits) {
+        (void)recv(fd, buf, sizeof(buf), 0);
+        break;
+      }
       if (reply.resets) {
         const linger abort_on_close{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
