--- a/packages/edge/include/hibiscuspick/edge/exchange_limits.h
+++ b/packages/edge/include/hibiscuspick/edge/exchange_limits.h
@@ -32,7 +32,7 @@
 inline constexpr int kMaxExtraReplies = 16;
 
 // Of all replies that are being received from backend servers.
-inline constexpr size_t kMaxReplyMemory = 24 << 20;
+inline constexpr size_t kMaxReplyMemory = 16 << 20;
 
 class ExchangeCounters {
  public:
