Soak: servers that send replies without end

One to four servers send, for a while, replies of which some part has no end (tests/soak/forms.py). A daemon that used more than its 256 MB, or ended, breaks a promise.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -88,6 +88,11 @@
                 log.flush()
                 await self.log_read.wait()
 
+    def peak_memory_mb(self):
+        with open(f"/proc/{self.process.pid}/status") as status:
+            line = next(it for it in status if it.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -130,6 +130,18 @@
         for it in some:
             it.mode = "well"
 
+    async def fault_endless(self, drawn, until):
+        """A few servers send replies without end."""
+        hold = drawn.uniform(0.4, 2.0)
+        await asyncio.sleep(drawn.uniform(0, until - self.now() - hold))
+        some = drawn.sample(self.world.backends, drawn.randint(1, 4))
+        self.faults.append(f"{self.now() - self.began:.1f} endless {hold:.1f}")
+        for it in some:
+            it.mode = "endless"
+        await asyncio.sleep(hold)
+        for it in some:
+            it.mode = "well"
+
     async def fault_fatal_request(self, drawn, until):
         """A request ends each server that gets it, and its caller asks again, at any instance."""
         await asyncio.sleep(drawn.uniform(0, until - self.now() - 2))
@@ -238,6 +250,7 @@
         drawn = random.Random(-self.seed)
         tasks = [asyncio.create_task(self.fault_fatal_request(drawn, until))
                  for _ in range(self.fatal_requests)]
+        tasks.append(asyncio.create_task(self.fault_endless(random.Random(self.seed + 0.5), until)))
         while self.now() < until:
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
             kind = self.random.choice(kinds)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,8 @@
 # Servers that may end under a request.
 MOST_ENDS = 3
 TOP = 5
+# The budget of a daemon.
+MOST_MEMORY_MB = 256
 CONFIG_BOUND = 3.0
 DRAIN_BOUND = 3.0
 EVACUATE_BOUND = 3.0
@@ -115,6 +117,11 @@
                     self.breaks("budget", f"{group}: {n} extra attempts for {most} requests in 10 s")
                     break
 
+    def check_memory(self):
+        for it in self.daemons:
+            if it.process.returncode is None and it.peak_memory_mb() > MOST_MEMORY_MB:
+                self.breaks("memory", f"{it.name} used {it.peak_memory_mb():.0f} MB")
+
     def check_recovery(self, since):
         late = [call for call in self.calls if call["sent"] > since]
         served = sum(1 for call in late if call["status"] == 200)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -135,6 +135,7 @@
         self.check_evacuations()
         self.check_fatal_requests()
         self.check_budget()
+        self.check_memory()
         self.check_recovery(min(calm_from, faults_end + 7))
         for it in self.daemons:
             if it.process.returncode is not None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,6 +8,8 @@
 import json
 import random
 
+from forms import FORMS, write_endlessly
+
 
 async def read_message(reader):
     """One HTTP message as (first line, headers in lower case, body)."""
@@ -218,6 +220,8 @@
                 return
             if loop.time() < self.paused_until:
                 await asyncio.sleep(self.paused_until - loop.time())
+            if self.mode == "endless":
+                await write_endlessly(writer, random.choice(FORMS))
             if self.mode == "slow":
                 await asyncio.sleep(0.08)
             if self.mode == "lossy" and random.random() < 0.3:
