--- a/packages/edge/tests/endless_messages_test.cc
+++ b/packages/edge/tests/endless_messages_test.cc
@@ -197,8 +197,7 @@
   FuzzReader(row, 42, [] { return RequestReader({kHeaderBytes, kBodyBytes}); });
 }
 
-// Failure: a server sends without end, and its reply is read until the deadline
-// or taken as one that has not run.
+// Failure: a reply without end is read on, or taken as one that has not run.
 BOOST_DATA_TEST_CASE(EndlessRepliesAreCutOff,
                      bdata::make(kReplies) * bdata::make({false, true}), row,
                      idempotent) {
--- a/packages/edge/tests/late_replies_test.cc
+++ b/packages/edge/tests/late_replies_test.cc
@@ -37,8 +37,7 @@
     {"idempotent, no id", Idempotency::kIdempotent, ""},
 };
 
-// Failure: a late copy of a refusal is taken as the reply to the request's next
-// attempt, so that the request runs twice.
+// Failure: a late copy of a refusal answers the next attempt, which runs too.
 BOOST_DATA_TEST_CASE(RetriedRequestIgnoresLateRefusal, bdata::make(kLate),
                      row) {
   TrafficFixture fixture;
@@ -62,8 +61,7 @@
   BOOST_TEST(server.connections() == 2);
 }
 
-// Failure: a late copy of a refusal that names no request is taken as the reply
-// to the next request on its connection.
+// Failure: a late copy of a refusal without an id answers another request.
 BOOST_AUTO_TEST_CASE(LateRefusalWithoutIdIsNoReplyToAnotherRequest) {
   TrafficFixture fixture;
   auto& route = fixture.AddRoute("/p/");
--- a/packages/edge/tests/loop_test.cc
+++ b/packages/edge/tests/loop_test.cc
@@ -6,8 +6,7 @@
 namespace hibiscuspick::edge {
 namespace {
 
-// Failure: a timer that sets itself again at a past time runs without end, and
-// the loop never returns to its sockets.
+// Failure: a timer that sets itself again at a past time starves the sockets.
 BOOST_AUTO_TEST_CASE(TimersSetAtPastTimesDoNotStarveSockets) {
   constexpr int kTooMany = 1000;
   Loop loop;
