A success that is not valid is not passed on to the caller

Cause: QueryRun::OnFailedAttempt keeps the last reply that is no valid success, and Fail passes it on with its status. It did not ask whether the reply claims to be a success.

Ruled out: that such a reply is taken as valid (routes with an attempt left send to the second server).

Change: a 2xx that is not valid is not kept.

--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -372,7 +372,10 @@
     const bool misdirected = result.reply.status == kMisdirectedStatus;
     may_have_run = !misdirected && !IsRefusal(result);
     if (misdirected) context_->backends->RecordMisdirected(result);
-    if (may_have_run) part.failure = result.reply;
+    // A success that is not valid is no answer; see IsValidReply.
+    if (may_have_run && !IsSuccess(result.reply.status)) {
+      part.failure = result.reply;
+    }
   }
   if (!may_have_run) {
     std::erase(part.may_have_run_on, result.server);
