Whether a reply answers the request is decided once, before its status

A late refusal without an id was taken as the refusal of the next request on the connection, which then ran up to four times on a route that may not be repeated (ExtraRepliesDoNotAnswerTheNextRequest/_6).

Cause: whose reply it is was asked in three places, each for one use, with the first of several fields, and for successes only in the last of them.

Ruled out: bytes that arrive while a connection is idle (it is closed then).

Change: JudgeReply says answer, skip or reject with a reason for each complete reply. Identifying fields occur once. A reply without an id is the request's own only if nothing was sent on the connection before; otherwise it is skipped, and the attempt fails if nothing follows for as long as a server may be silent. A rejected reply leaves neither status, headers nor latency; the attempt may have run. One log line with the request's id, one counter by reason.

--- a/packages/edge/include/hibiscuspick/edge/backends.h
+++ b/packages/edge/include/hibiscuspick/edge/backends.h
@@ -35,7 +35,8 @@
   kReply,
   // No connection could be made, or it broke before anything was sent.
   kNotSent,
-  // The request was sent, but the connection broke or the reply was malformed.
+  // The request was sent, but the connection broke or the reply is no answer
+  // to it.
   kBroken,
   // AttemptSpec::may_send withdrew it before anything was sent.
   kWithdrawn,
@@ -65,7 +66,7 @@
 };
 
 struct AttemptSpec {
-  // For log lines. Owned by what the callbacks keep alive.
+  // Owned by what the callbacks keep alive.
   std::string_view request_id;
   ServiceId service;
   // The service whose budget of extra attempts pays for a second attempt.
@@ -92,10 +93,8 @@
   // The request must not run twice, so it is sent only on connections that are
   // unlikely to have been closed by the server.
   bool not_idempotent = false;
-  HttpChannel::ReplyFilter accepts_reply;
-  // Whether a reply names the request. A connection on which one did not is not
-  // used again: a late copy could be taken as the reply to any request.
-  HttpChannel::ReplyFilter names_request;
+  // Owned by what the callbacks keep alive.
+  const WireNames* names = nullptr;
   // Asked once the connection stands, if one had to be made; may be null.
   std::function<bool(AttemptId)> may_send;
   // Called before `on_end`, and also for an abandoned attempt, if the
@@ -295,6 +294,8 @@
   void SendOnChannel(const std::shared_ptr<HttpChannel>& channel, AttemptId id);
   void OnReply(AttemptId id, ExchangeEnd end, HttpReply reply);
   void LogOversizedReply(const Attempt& attempt);
+  void LogDefect(const Attempt& attempt);
+  void RejectUnnamedReplies();
   void EndAttempt(AttemptId id, AttemptEnd end, HttpReply reply,
                   bool connection_lost = false);
   static AttemptResult ResultOf(AttemptId id, const Attempt& attempt,
@@ -363,6 +364,7 @@
   Random evidence_random_{static_cast<uint64_t>(SteadyNow().count * 1000)};
   LineBudget belief_lines_{5, 50, 50};
   LineBudget oversized_lines_{5, 50, 50};
+  LineBudget defect_lines_{5, 50, 50};
   ReplyMemory reply_memory_{kMaxReplyMemory};
   // Time of the last contact with a server in another data centre, and the
   // number of failed attempts at such servers since.
--- a/packages/edge/include/hibiscuspick/edge/exchange_limits.h
+++ b/packages/edge/include/hibiscuspick/edge/exchange_limits.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "hibiscuspick/edge/http_message.h"
+#include "hibiscuspick/edge/reply_check.h"
 #include "hibiscuspick/metrics/registry.h"
 
 namespace hibiscuspick::edge {
@@ -46,11 +47,15 @@
   void CountReply(LimitedElement it) const {
     replies_[static_cast<size_t>(it)]->Add();
   }
+  void CountDefect(ReplyDefect it) const {
+    defects_[static_cast<size_t>(it)]->Add();
+  }
   void CountException() const { exceptions_->Add(); }
 
  private:
   std::array<metrics::Counter*, kLimitedElementCount> requests_{};
   std::array<metrics::Counter*, kLimitedElementCount> replies_{};
+  std::array<metrics::Counter*, kReplyDefectCount> defects_{};
   metrics::Counter* exceptions_;
 };
 
--- a/packages/edge/include/hibiscuspick/edge/http_channel.h
+++ b/packages/edge/include/hibiscuspick/edge/http_channel.h
@@ -13,6 +13,7 @@
 #include "hibiscuspick/edge/http_message.h"
 #include "hibiscuspick/edge/loop.h"
 #include "hibiscuspick/edge/remote_traffic.h"
+#include "hibiscuspick/edge/reply_check.h"
 
 namespace hibiscuspick::edge {
 
@@ -21,8 +22,9 @@
   kReply,
   // The connection broke.
   kBroken,
-  // The reply was malformed; the connection was closed by this side.
-  kMalformed,
+  // The reply is no answer to the request, by defect(); the connection was
+  // closed by this side.
+  kRejected,
   // The reply exceeded a limit; the connection was closed by this side.
   kTooLarge,
   // The connection broke before the kernel had accepted any byte of the
@@ -36,9 +38,6 @@
 class HttpChannel : public std::enable_shared_from_this<HttpChannel> {
  public:
   using OnReply = std::function<void(ExchangeEnd, HttpReply)>;
-  // Whether a reply belongs to the request in flight. Other replies are
-  // skipped, and the channel is closed after the matching one.
-  using ReplyFilter = std::function<bool(const HttpReply&)>;
 
   explicit HttpChannel(Loop* loop);
 
@@ -53,7 +52,9 @@
     size_t max_reply_bytes = 0;
     // Memory that the reply shares with others; may be null.
     ReplyMemory* memory = nullptr;
-    ReplyFilter accepts_reply;
+    // Replies that are judged to be skipped may precede the answer; the channel
+    // is closed after it.
+    ReplyExpectation expectation;
     OnReply on_reply;
   };
   // Sends a request; requires IsIdle(). `on_reply` is called once, unless the
@@ -83,6 +84,15 @@
   LimitedElement exceeded() const { return exceeded_; }
   // Ends the exchange in flight with kTooLarge.
   void Exceed(LimitedElement element);
+  // The last defect of a reply in the last exchange.
+  ReplyDefect defect() const { return defect_; }
+  // Whether the exchange in flight has skipped a reply that names no request,
+  // which may have been its own.
+  bool HasSkippedUnnamed() const { return busy_ && skipped_unnamed_; }
+  // Ends the exchange in flight with kRejected.
+  void Reject(ReplyDefect defect);
+  // Whether a request was sent on it before. A late reply to that may arrive.
+  bool WasUsed() const { return exchanges_ > 0; }
   // Closes the connection. A request in flight gets no callback.
   void Close();
 
@@ -91,6 +101,7 @@
   void OnEnd(StreamEnd how);
   void Finish(ExchangeEnd end, HttpReply reply);
   bool ParseReply();
+  ReplyVerdict Judge(const HttpReply& reply);
   std::unique_ptr<ReplyReader> MakeReader() const;
   bool IsWithinLimits();
 
@@ -104,11 +115,13 @@
   size_t written_before_ = 0;
   size_t reply_bytes_ = 0;
   int extra_replies_ = 0;
+  size_t exchanges_ = 0;
   LimitedElement exceeded_ = LimitedElement::kBody;
+  ReplyDefect defect_ = ReplyDefect::kNone;
   const ByteCounters* byte_counters_ = nullptr;
   bool open_ = false;
   bool busy_ = false;
-  bool skipped_reply_ = false;
+  bool skipped_unnamed_ = false;
 };
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/include/hibiscuspick/edge/query_run.h
+++ b/packages/edge/include/hibiscuspick/edge/query_run.h
@@ -320,10 +320,7 @@
   // The caller's request without the headers that are set anew for each server.
   HttpRequest UpstreamRequest() const;
   std::string SerializeFor(const BackendServerId& server) const;
-  bool NamesRequest(const HttpReply& reply) const;
-  bool MatchesRequest(const HttpReply& reply) const;
   void OnAttempt(size_t i, AttemptResult result);
-  bool IsValidReply(const HttpReply& reply) const;
   // Records the remaining warm-up time that the server reported, if any.
   void RecordWarmup(const AttemptResult& result);
   bool IsRefusal(const AttemptResult& result) const;
--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -180,7 +180,8 @@
     Server* server, const AttemptSpec& spec) {
   const Millis max_age =
       server->idle_timeout * (spec.not_idempotent ? 0.5 : 0.9);
-  const auto was_refused_on = [&](const HttpChannel& it) {
+  const auto may_get_late_reply = [&](const HttpChannel& it) {
+    if (spec.request_id.empty() && it.WasUsed()) return true;
     return std::find(spec.refused_on.begin(), spec.refused_on.end(), it.id()) !=
            spec.refused_on.end();
   };
@@ -194,7 +195,7 @@
     const Millis age = loop_->now() - channel->idle_since();
     if (channel->HasEnded() || age >= max_age) {
       channel->Close();
-    } else if (was_refused_on(*channel)) {
+    } else if (may_get_late_reply(*channel)) {
       skipped.push_back(channel);
     } else {
       chosen = channel;
@@ -259,7 +260,8 @@
   exchange.is_head = attempt.spec.is_head;
   exchange.max_reply_bytes = policy_.max_reply_bytes;
   exchange.memory = &reply_memory_;
-  exchange.accepts_reply = attempt.spec.accepts_reply;
+  exchange.expectation = {attempt.spec.names,
+                          std::string(attempt.spec.request_id)};
   exchange.on_reply = [this, id](ExchangeEnd end, HttpReply reply) {
     OnReply(id, end, std::move(reply));
   };
@@ -271,10 +273,12 @@
   if (found == attempts_.end()) return;
   const auto server = found->second->server;
   const auto channel = found->second->channel;
-  if (end == ExchangeEnd::kReply) {
+  if (channel->defect() != ReplyDefect::kNone) LogDefect(*found->second);
+  if (end == ExchangeEnd::kReply || end == ExchangeEnd::kRejected) {
     RecordContact(server.get());
+  }
+  if (end == ExchangeEnd::kReply) {
     ReadIdleTimeout(reply, &server->idle_timeout);
-    if (!found->second->spec.names_request(reply)) channel->Close();
     if (channel->IsIdle()) KeepChannel(server, channel);
     EndAttempt(id, AttemptEnd::kReply, std::move(reply));
   } else {
@@ -298,6 +302,15 @@
           attempt.channel->reply_bytes());
 }
 
+void Backends::LogDefect(const Attempt& attempt) {
+  if (!TakeLine(&defect_lines_, loop_->now())) return;
+  Log(Part::kBackend)
+      .warn("request {}: reply of server {} of service {} is no answer: {}",
+            attempt.spec.request_id, attempt.server->view.entry.id.text,
+            attempt.server->view.entry.service.text,
+            DefectName(attempt.channel->defect()));
+}
+
 AttemptResult Backends::ResultOf(AttemptId id, const Attempt& attempt,
                                  AttemptEnd end, Millis now) {
   AttemptResult result;
--- a/packages/edge/src/backends_reachability.cc
+++ b/packages/edge/src/backends_reachability.cc
@@ -99,6 +99,7 @@
 void Backends::CheckSilentServers() {
   silence_timer_ = loop_->RunAt(loop_->now() + kSilenceCheckInterval,
                                 [this] { CheckSilentServers(); });
+  RejectUnnamedReplies();
   for (const auto& [id, it] : attempts_) {
     if (!it->was_sent || it->server->view.unreachable) continue;
     const Millis age = loop_->now() - it->sent_at;
@@ -110,6 +111,20 @@
   }
 }
 
+// A reply that names no request may have been a late one to an earlier request.
+// Once the request's own reply is overdue too, none is expected any more.
+void Backends::RejectUnnamedReplies() {
+  std::vector<std::shared_ptr<HttpChannel>> channels;
+  for (const auto& [id, it] : attempts_) {
+    const Millis overdue = it->spec.overdue_after * kServerOverdueFactor;
+    if (it->was_sent && it->channel->HasSkippedUnnamed() &&
+        loop_->now() - it->sent_at > overdue) {
+      channels.push_back(it->channel);
+    }
+  }
+  for (const auto& it : channels) it->Reject(ReplyDefect::kNoRequestId);
+}
+
 // A server without any reply since an abandoned attempt may be unreachable, and
 // each of its idle connections would lose one request. Closes them; a new
 // connection shows whether the server is reachable.
--- a/packages/edge/src/exchange_limits.cc
+++ b/packages/edge/src/exchange_limits.cc
@@ -38,6 +38,14 @@
         "hibiscuspick_edge_oversized_replies_total",
         "Replies that exceeded a limit, by what exceeded it", labels);
   }
+  for (size_t i = 0; i < kReplyDefectCount; ++i) {
+    const auto defect = static_cast<ReplyDefect>(i);
+    if (defect == ReplyDefect::kNone) continue;
+    defects_[i] = &registry->GetCounter(
+        "hibiscuspick_edge_rejected_replies_total",
+        "Replies that were not taken as answers, by the reason",
+        {{"reason", std::string(DefectName(defect))}});
+  }
 }
 
 HttpChannel* ReplyMemory::Update(HttpChannel* channel, size_t n) {
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -45,6 +45,9 @@
   written_before_ = stream_->bytes_written();
   reply_bytes_ = 0;
   extra_replies_ = 0;
+  ++exchanges_;
+  defect_ = ReplyDefect::kNone;
+  skipped_unnamed_ = false;
   if (byte_counters_) byte_counters_->sent->Add(exchange_.text.size());
   stream_->Write(std::exchange(exchange_.text, std::string()));
 }
@@ -73,7 +76,7 @@
     case ReadState::kMore:
       return false;
     case ReadState::kMalformed:
-      Finish(ExchangeEnd::kMalformed, {});
+      Reject(ReplyDefect::kSyntax);
       return false;
     case ReadState::kHeaderTooBig:
     case ReadState::kBodyTooBig:
@@ -85,16 +88,38 @@
   }
   HttpReply reply = reader_->Take();
   const bool interim = reply.status < kFirstFinalStatus;
-  if (interim || (exchange_.accepts_reply && !exchange_.accepts_reply(reply))) {
-    skipped_reply_ = skipped_reply_ || !interim;
+  const ReplyUse use = interim ? ReplyUse::kSkip : Judge(reply).use;
+  if (use == ReplyUse::kSkip) {
     ++extra_replies_;
     reader_ = MakeReader();
     return IsWithinLimits();
   }
-  Finish(ExchangeEnd::kReply, std::move(reply));
+  Finish(
+      use == ReplyUse::kReject ? ExchangeEnd::kRejected : ExchangeEnd::kReply,
+      std::move(reply));
   return false;
 }
 
+ReplyVerdict HttpChannel::Judge(const HttpReply& reply) {
+  const bool is_first = exchanges_ == 1 && defect_ == ReplyDefect::kNone;
+  const auto verdict = JudgeReply(reply, exchange_.expectation, is_first);
+  if (verdict.defect == ReplyDefect::kNone) return verdict;
+  defect_ = verdict.defect;
+  if (verdict.use == ReplyUse::kSkip &&
+      verdict.defect == ReplyDefect::kNoRequestId) {
+    skipped_unnamed_ = true;
+  }
+  if (const auto* it = loop_->exchange_counters()) it->CountDefect(defect_);
+  return verdict;
+}
+
+void HttpChannel::Reject(ReplyDefect defect) {
+  if (!busy_) return;
+  defect_ = defect;
+  if (const auto* it = loop_->exchange_counters()) it->CountDefect(defect);
+  Finish(ExchangeEnd::kRejected, {});
+}
+
 // Whether the replies before the one to this request are few and small enough.
 bool HttpChannel::IsWithinLimits() {
   return extra_replies_ <= kMaxExtraReplies &&
@@ -113,8 +138,11 @@
   if (!busy_) return;
   if (how == StreamEnd::kOrderly && reader_->ReadEnd() == ReadState::kDone) {
     HttpReply reply = reader_->Take();
-    if (!exchange_.accepts_reply || exchange_.accepts_reply(reply)) {
-      Finish(ExchangeEnd::kReply, std::move(reply));
+    const ReplyUse use = Judge(reply).use;
+    if (use != ReplyUse::kSkip) {
+      Finish(use == ReplyUse::kReject ? ExchangeEnd::kRejected
+                                      : ExchangeEnd::kReply,
+             std::move(reply));
       return;
     }
   }
@@ -126,12 +154,13 @@
   busy_ = false;
   idle_since_ = loop_->now();
   const bool reusable = end == ExchangeEnd::kReply && reply.keep_alive &&
-                        !reply.until_close && !skipped_reply_ &&
+                        !reply.until_close && defect_ == ReplyDefect::kNone &&
                         buffer_.empty() && stream_->IsFlushed();
   if (exchange_.memory) exchange_.memory->Remove(this);
   const auto on_reply = std::exchange(exchange_.on_reply, nullptr);
   exchange_ = {};
   if (!reusable) Close();
+  if (end == ExchangeEnd::kRejected) reply = {};
   if (on_reply) on_reply(end, std::move(reply));
 }
 
--- a/packages/edge/src/query_run.cc
+++ b/packages/edge/src/query_run.cc
@@ -24,8 +24,6 @@
 
 constexpr int kMisdirectedStatus = 421;
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 QueryRun::QueryRun(QueryContext* context,
@@ -248,12 +246,7 @@
     self->parts_[i].may_have_run_on.push_back(server);
     return self->SerializeFor(server);
   };
-  spec.accepts_reply = [self](const HttpReply& reply) {
-    return self->MatchesRequest(reply);
-  };
-  spec.names_request = [self](const HttpReply& reply) {
-    return self->NamesRequest(reply);
-  };
+  spec.names = context_->names;
   spec.on_end = [self, i](AttemptResult result) {
     self->OnAttempt(i, std::move(result));
   };
@@ -291,26 +284,6 @@
   return ToText(sent);
 }
 
-bool QueryRun::NamesRequest(const HttpReply& reply) const {
-  const auto id = FindHeader(reply.headers, context_->names->request_id);
-  return !id.empty() && id == request_id_;
-}
-
-// A reply with another request's id is a late or duplicate reply to that
-// request.
-bool QueryRun::MatchesRequest(const HttpReply& reply) const {
-  return NamesRequest(reply) ||
-         FindHeader(reply.headers, context_->names->request_id).empty();
-}
-
-bool QueryRun::IsValidReply(const HttpReply& reply) const {
-  const auto& names = *context_->names;
-  return IsSuccess(reply.status) &&
-         !FindHeader(reply.headers, names.stamp).empty() &&
-         FindHeader(reply.headers, names.request_id) == request_id_ &&
-         FindHeader(reply.headers, "Content-Encoding").empty();
-}
-
 void QueryRun::RecordWarmup(const AttemptResult& result) {
   const auto remaining =
       ParseInteger(FindHeader(result.reply.headers, context_->names->warmup));
@@ -337,7 +310,7 @@
       result.reply.status != kMisdirectedStatus) {
     OnServerSurvived(i, is_canary);
   }
-  if (has_reply && IsValidReply(result.reply)) {
+  if (has_reply && IsSuccess(result.reply.status)) {
     backends.RecordReply(result, route_latency_->median);
     engine::AddLatency(route_latency_, result.latency, route_->target);
     if (done_ || part.received) return;
@@ -372,10 +345,7 @@
     const bool misdirected = result.reply.status == kMisdirectedStatus;
     may_have_run = !misdirected && !IsRefusal(result);
     if (misdirected) context_->backends->RecordMisdirected(result);
-    // A success that is not valid is no answer; see IsValidReply.
-    if (may_have_run && !IsSuccess(result.reply.status)) {
-      part.failure = result.reply;
-    }
+    if (may_have_run) part.failure = result.reply;
   }
   if (!may_have_run) {
     std::erase(part.may_have_run_on, result.server);
