Replies of unknown framing or coding are rejected on every path

Cause: the check of codings read the first of several fields, took an empty one for none, and was made for successes only; transfer codings other than chunked were let through by the parser and their header then dropped as one of the connection.

Ruled out: lengths that differ and a length beside chunked (the parser rejects them).

Change: a reply has one length, or chunked alone, or ends with its connection; else, or with a folded field, it is rejected when its headers are complete. A Content-Encoding of any value is rejected for any status. Both hold for servers, other instances and the store.

--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -72,7 +72,10 @@
   kMalformed,
   kHeaderTooBig,
   kBodyTooBig,
-  kFramingTooBig
+  kFramingTooBig,
+  // Of replies: the headers do not say clearly where the body ends, or the body
+  // has a transfer coding other than `chunked`.
+  kUnknownFraming
 };
 
 // What a reader may hold of one message. An element that must be whole before
@@ -112,7 +115,9 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// Parses one reply.
+// Parses one reply. Stops after the headers if the framing is unknown: a body
+// of another coding would be passed on as if it were the server's, and one of
+// another length would become the next reply.
 class ReplyReader {
  public:
   // `is_head`: the reply is to a HEAD request and has no body.
--- a/packages/edge/include/hibiscuspick/edge/peer_sender.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_sender.h
@@ -176,6 +176,7 @@
   // Peers that could not be reached, and until when they get no queries.
   std::map<InstanceId, Millis> backoff_until_;
   LineBudget oversized_lines_{5, 50, 50};
+  LineBudget defect_lines_{5, 50, 50};
   std::map<DataCentreId, engine::RelayHealth> relay_health_;
   struct UtilisationReport {
     double utilisation = 0;
--- a/packages/edge/include/hibiscuspick/edge/reply_check.h
+++ b/packages/edge/include/hibiscuspick/edge/reply_check.h
@@ -17,11 +17,14 @@
   kNone,
   // Not an HTTP/1.1 reply.
   kSyntax,
+  // ReadState::kUnknownFraming.
+  kFraming,
   // A field that identifies the reply occurs more than once.
   kRepeatedField,
   kNoRequestId,
   // The id of another request.
   kOtherRequestId,
+  // The body has a coding, which no request asks for.
   kContentCoding,
   // A success without the server's stamp.
   kNoStamp,
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -78,6 +78,9 @@
     case ReadState::kMalformed:
       Reject(ReplyDefect::kSyntax);
       return false;
+    case ReadState::kUnknownFraming:
+      Reject(ReplyDefect::kFraming);
+      return false;
     case ReadState::kHeaderTooBig:
     case ReadState::kBodyTooBig:
     case ReadState::kFramingTooBig:
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -86,6 +86,32 @@
   size_t bytes_read_ = 0;
 };
 
+// Whether a field continues on another line (RFC 9112, 5.2). The parser joins
+// the lines, others take them for fields of their own. `from`: what precedes
+// has no such field.
+bool HasFoldedField(std::string_view buf, size_t from) {
+  const std::string_view rest = buf.substr(from);
+  const std::string_view headers = rest.substr(0, rest.find("\r\n\r\n"));
+  return headers.find("\r\n ") != std::string_view::npos ||
+         headers.find("\r\n\t") != std::string_view::npos;
+}
+
+// Whether the body ends by one length, by `chunked` alone or with the
+// connection (RFC 9112, 6.3).
+template <class Message>
+bool IsFramingKnown(const Message& message) {
+  const size_t lengths = message.count(http::field::content_length);
+  const size_t codings = message.count(http::field::transfer_encoding);
+  if (lengths + codings == 0) return true;
+  if (lengths + codings > 1) return false;
+  if (codings == 0) {
+    return ParseInteger(ToString(message[http::field::content_length]))
+        .has_value();
+  }
+  return EqualsIgnoreCase(ToString(message[http::field::transfer_encoding]),
+                          "chunked");
+}
+
 template <class Message>
 std::vector<Header> HeadersOf(const Message& message) {
   std::vector<Header> headers;
@@ -203,6 +229,9 @@
 struct ReplyReader::Impl
     : LimitedParser<http::response_parser<http::string_body>> {
   using LimitedParser::LimitedParser;
+  bool is_framing_checked = false;
+  // Length of the headers' unparsed part that has no folded field.
+  size_t unfolded_bytes = 0;
 };
 
 ReplyReader::ReplyReader(bool is_head, const MessageLimits& limits)
@@ -212,7 +241,22 @@
 
 ReplyReader::~ReplyReader() = default;
 
-ReadState ReplyReader::Read(std::string* buf) { return impl_->Read(buf); }
+ReadState ReplyReader::Read(std::string* buf) {
+  constexpr size_t kOverlap = std::string_view("\r\n\r\n").size() - 1;
+  const size_t from =
+      impl_->unfolded_bytes < kOverlap ? 0 : impl_->unfolded_bytes - kOverlap;
+  const bool is_folded =
+      !impl_->parser().is_header_done() && HasFoldedField(*buf, from);
+  const ReadState state = impl_->Read(buf);
+  impl_->unfolded_bytes = buf->size();
+  if (is_folded) return ReadState::kUnknownFraming;
+  if (impl_->is_framing_checked || !impl_->parser().is_header_done()) {
+    return state;
+  }
+  impl_->is_framing_checked = true;
+  return IsFramingKnown(impl_->parser().get()) ? state
+                                               : ReadState::kUnknownFraming;
+}
 
 ReadState ReplyReader::ReadEnd() {
   boost::system::error_code ec;
--- a/packages/edge/src/peer_sender.cc
+++ b/packages/edge/src/peer_sender.cc
@@ -407,6 +407,12 @@
                 query->peer.id.text, ElementName(query->channel->exceeded()),
                 query->channel->reply_bytes());
     }
+    if (end == ExchangeEnd::kRejected &&
+        TakeLine(&defect_lines_, loop_->now())) {
+      Log(Part::kMembers)
+          .warn("answer of {} rejected: {}", query->peer.id.text,
+                DefectName(query->channel->defect()));
+    }
     if (end != ExchangeEnd::kReply) {
       Finish(query,
              end == ExchangeEnd::kUnsent ? ForwardResult::kNotStarted
--- a/packages/edge/src/reply_check.cc
+++ b/packages/edge/src/reply_check.cc
@@ -1,5 +1,6 @@
 #include "hibiscuspick/edge/reply_check.h"
 
+#include <algorithm>
 #include <array>
 
 namespace hibiscuspick::edge {
@@ -7,9 +8,9 @@
 
 // In the order of ReplyDefect.
 constexpr std::array<std::string_view, kReplyDefectCount> kDefectNames = {
-    "none",          "syntax",           "repeated_field",
-    "no_request_id", "other_request_id", "content_coding",
-    "no_stamp",      "not_run_success"};
+    "none",           "syntax",        "framing",
+    "repeated_field", "no_request_id", "other_request_id",
+    "content_coding", "no_stamp",      "not_run_success"};
 
 constexpr int kMisdirectedStatus = 421;
 
@@ -45,6 +46,11 @@
 
 ReplyVerdict Reject(ReplyDefect defect) { return {ReplyUse::kReject, defect}; }
 
+bool HasHeader(const HttpReply& reply, std::string_view name) {
+  return std::any_of(reply.headers.begin(), reply.headers.end(),
+                     [&](auto& it) { return EqualsIgnoreCase(it.name, name); });
+}
+
 }  // namespace
 
 std::string_view DefectName(ReplyDefect defect) {
@@ -55,7 +61,10 @@
 
 ReplyVerdict JudgeReply(const HttpReply& reply,
                         const ReplyExpectation& expectation, bool is_first) {
-  if (expectation.names == nullptr) return {};
+  const bool is_encoded = HasHeader(reply, "Content-Encoding");
+  if (expectation.names == nullptr) {
+    return is_encoded ? Reject(ReplyDefect::kContentCoding) : ReplyVerdict{};
+  }
   const auto fields = FieldsOf(reply, *expectation.names);
   const std::string_view id = fields.request_id.value;
   if (fields.request_id.count > 1) return Reject(ReplyDefect::kRepeatedField);
@@ -68,6 +77,7 @@
   if (fields.stamp.count > 1 || fields.not_run.count > 1) {
     return Reject(ReplyDefect::kRepeatedField);
   }
+  if (is_encoded) return Reject(ReplyDefect::kContentCoding);
   const bool success = IsSuccess(reply.status);
   const bool has_not_run = !fields.not_run.value.empty();
   // A server that cannot read the request's id refuses it without one.
@@ -80,9 +90,6 @@
   if (success && fields.stamp.value.empty()) {
     return Reject(ReplyDefect::kNoStamp);
   }
-  if (success && !FindHeader(reply.headers, "Content-Encoding").empty()) {
-    return Reject(ReplyDefect::kContentCoding);
-  }
   return {ReplyUse::kAnswer,
           id.empty() ? ReplyDefect::kNoRequestId : ReplyDefect::kNone};
 }
--- a/packages/edge/tests/reply_identity_test.cc
+++ b/packages/edge/tests/reply_identity_test.cc
@@ -54,6 +54,12 @@
   CheckIsNoAnswer(form, kind);
 }
 
+// Failure: a damaged reply is taken as a success that its bytes are not.
+BOOST_DATA_TEST_CASE(DamagedIdentityFormsAreNoWrongSuccesses,
+                     bdata::make(kForms), form) {
+  FuzzForm(form, 43);
+}
+
 const ReplyForm kLate[] = {
     {"server error", Reply("500 Failed", "")},
     {"server error with a stamp", Reply("500 Failed", kStamp)},
