Headers of a server's connection do not reach callers

What callers saw: a header that the server names in a second Connection field or behind a tab, Proxy-Authenticate, and headers of one value twice.

Cause: EndToEndHeaders read the first Connection field and trimmed spaces only. Ruled out: the list of hop-by-hop headers as a whole (its other members were dropped).

Change: all Connection fields count, for replies and requests. Of a header that has one value callers get the first.

--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -52,7 +52,8 @@
 std::string_view FindHeader(const std::vector<Header>& headers,
                             std::string_view name);
 
-// Splits a comma-separated header value and trims spaces around the items.
+// Splits a comma-separated header value and trims spaces and tabs around the
+// items.
 std::vector<std::string_view> SplitList(std::string_view list);
 
 // Parses a decimal integer; nullopt unless the whole text is one.
@@ -63,6 +64,10 @@
 bool IsHopByHop(std::string_view name);
 std::vector<Header> EndToEndHeaders(const std::vector<Header>& headers);
 
+// The headers of a server's reply that callers get: the end-to-end ones, and
+// of those that have one value only the first.
+std::vector<Header> CallerHeaders(const std::vector<Header>& headers);
+
 // State of a reader. The errors correspond to a status: 400 for a malformed
 // message, 431 for too large headers, 413 for too large a body or its framing:
 // the chunk headers and trailers.
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -14,10 +14,17 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection", "Keep-Alive",     "Transfer-Encoding",
-    "TE",         "Trailer",        "Upgrade",
-    "Expect",     "Content-Length", "Proxy-Connection"};
+constexpr std::array<std::string_view, 10> kHopByHop = {
+    "Connection",         "Content-Length",   "Expect", "Keep-Alive",
+    "Proxy-Authenticate", "Proxy-Connection", "TE",     "Trailer",
+    "Transfer-Encoding",  "Upgrade"};
+
+// Headers of replies that have one value, which recipients may take from any of
+// several.
+constexpr std::array<std::string_view, 11> kSingleValued = {
+    "Age",   "Content-Location", "Content-Range", "Content-Type", "Date",
+    "ETag",  "Expires",          "Last-Modified", "Location",     "Retry-After",
+    "Server"};
 
 char Lower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -152,8 +159,10 @@
   while (!list.empty()) {
     const size_t comma = list.find(',');
     std::string_view item = list.substr(0, comma);
-    while (item.starts_with(' ')) item.remove_prefix(1);
-    while (item.ends_with(' ')) item.remove_suffix(1);
+    while (item.starts_with(' ') || item.starts_with('\t')) {
+      item.remove_prefix(1);
+    }
+    while (item.ends_with(' ') || item.ends_with('\t')) item.remove_suffix(1);
     items.push_back(item);
     if (comma == std::string_view::npos) break;
     list.remove_prefix(comma + 1);
@@ -175,7 +184,12 @@
 }
 
 std::vector<Header> EndToEndHeaders(const std::vector<Header>& headers) {
-  const auto named = SplitList(FindHeader(headers, "Connection"));
+  std::vector<std::string_view> named;
+  for (const auto& it : headers) {
+    if (!EqualsIgnoreCase(it.name, "Connection")) continue;
+    const auto tokens = SplitList(it.value);
+    named.insert(named.end(), tokens.begin(), tokens.end());
+  }
   std::vector<Header> kept;
   kept.reserve(headers.size() + 2);
   for (const auto& it : headers) {
@@ -190,6 +204,17 @@
   return kept;
 }
 
+std::vector<Header> CallerHeaders(const std::vector<Header>& headers) {
+  std::vector<Header> kept = EndToEndHeaders(headers);
+  for (const auto name : kSingleValued) {
+    bool found = false;
+    std::erase_if(kept, [&](const Header& it) {
+      return EqualsIgnoreCase(it.name, name) && std::exchange(found, true);
+    });
+  }
+  return kept;
+}
+
 struct RequestReader::Impl
     : LimitedParser<http::request_parser<http::string_body>> {
   using LimitedParser::LimitedParser;
--- a/packages/edge/src/query_answer.cc
+++ b/packages/edge/src/query_answer.cc
@@ -73,7 +73,7 @@
     return;
   }
   HttpReply reply = std::move(parts_[0].reply);
-  reply.headers = EndToEndHeaders(reply.headers);
+  reply.headers = CallerHeaders(reply.headers);
   Finish(std::move(reply), QueryFault::kNone);
 }
 
@@ -128,7 +128,7 @@
       fault == QueryFault::kServersFailed &&
       !engine::PromisesNotRun(parts_[0].failure->status)) {
     HttpReply reply = std::move(*parts_[0].failure);
-    reply.headers = EndToEndHeaders(reply.headers);
+    reply.headers = CallerHeaders(reply.headers);
     Finish(std::move(reply), fault);
     return;
   }
