Soak: servers send misleading replies and replies to no request

A few servers send replies with codings, two ids or two stamps in place of their own, and failures and refusals without an id after a whole reply. No caller may get their bytes or a Content-Encoding; the promises on runs and refusals hold for the stray refusals too. Draws of their own, so that seeds play the other faults as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -132,12 +132,19 @@
 
     async def fault_endless(self, drawn, until):
         """A few servers send replies without end."""
+        await self.play_at_servers("endless", drawn, until)
+
+    async def fault_misleading(self, drawn, until):
+        """A few servers send replies that are no answers, or that belong to no request."""
+        await self.play_at_servers("misleading", drawn, until)
+
+    async def play_at_servers(self, mode, drawn, until):
         hold = drawn.uniform(0.4, 2.0)
         await asyncio.sleep(drawn.uniform(0, until - self.now() - hold))
         some = drawn.sample(self.world.backends, drawn.randint(1, 4))
-        self.faults.append(f"{self.now() - self.began:.1f} endless {hold:.1f}")
+        self.faults.append(f"{self.now() - self.began:.1f} {mode} {hold:.1f}")
         for it in some:
-            it.mode = "endless"
+            it.mode = mode
         await asyncio.sleep(hold)
         for it in some:
             it.mode = "well"
@@ -251,6 +258,7 @@
         tasks = [asyncio.create_task(self.fault_fatal_request(drawn, until))
                  for _ in range(self.fatal_requests)]
         tasks.append(asyncio.create_task(self.fault_endless(random.Random(self.seed + 0.5), until)))
+        tasks.append(asyncio.create_task(self.fault_misleading(random.Random(self.seed + 0.25), until)))
         while self.now() < until:
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
             kind = self.random.choice(kinds)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,6 +1,7 @@
 """What callers and backend servers were promised, checked from what they saw."""
 
 from daemons import BUDGET_RATIO, BUDGET_SLACK
+from forms import STRAY_BODY
 
 SHARDS = 6
 LEAST = 0.6
@@ -44,6 +45,8 @@
                 self.breaks("once", f"{call['id']} ran {len(runs)} times")
             if call["kind"] == "once" and call["status"] in (408, 421, 429, 503) and runs:
                 self.breaks("refused", f"{call['id']} was answered {call['status']} and ran")
+            if call.get("body") == STRAY_BODY or "content-encoding" in call.get("headers", {}):
+                self.breaks("whole", f"{call['id']}: {call['status']} of bytes that are no answer")
             if call["status"] == 200 and call["kind"] == "gather":
                 self.check_gather(call)
             elif call["status"] == 200:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,7 +8,7 @@
 import json
 import random
 
-from forms import FORMS, write_endlessly
+from forms import FORMS, MISLEADING, STRAY, write_endlessly
 
 
 async def read_message(reader):
@@ -236,7 +236,14 @@
                 writer.write(random.choice([answer[:-3], answer + answer, b"\x00\x01" + answer]))
                 await asyncio.sleep(0.01)
                 return
+            if self.mode == "misleading" and random.random() < 0.3:
+                writer.write(random.choice(MISLEADING) % (request.encode(), stamp.encode()))
+                await asyncio.sleep(0.01)
+                return
             writer.write(answer)
+            if self.mode == "misleading" and random.random() < 0.3:
+                await asyncio.sleep(0.004)
+                writer.write(random.choice(STRAY))
 
 
 class Proxy(Server):
