Failures of superfluous attempts are no latency samples of their server

Cause: the reply of an attempt that is no longer needed was recorded as the server's latency whatever it was, so that a server which refuses or fails at once looked fast, and its failures and refusals were forgotten. Not known to have been seen by callers.

Change: only a success is a sample.

--- a/packages/edge/src/backends.cc
+++ b/packages/edge/src/backends.cc
@@ -364,7 +364,8 @@
     // The reply is still a latency sample of the server.
     attempt.spec.on_end = [this, median_latency = attempt.spec.median_latency](
                               const AttemptResult& it) {
-      if (it.end == AttemptEnd::kReply) {
+      // A refusal or failure does not tell how long the server takes.
+      if (it.end == AttemptEnd::kReply && IsSuccess(it.reply.status)) {
         RecordReply(it, median_latency);
       }
     };
