Reports of ended servers are not lost while others are in flight

What was seen: OperatorsLiftQuarantines failed now and then, with 2 to 19 ended servers at the second instance, 20 wanted.

Cause: each end is published in a message; a peer gets four at once, and the report in a fifth was dropped.

Ruled out: that the test alone reads too early (seen once; else the number does not change later).

Change: a report without room is sent, as it is then, when a message to that peer has ended. OperatorsLiftQuarantines awaits the report, since it travels after the caller's answer; a report that never comes fails it.

--- a/packages/edge/include/hibiscuspick/edge/peer_messages.h
+++ b/packages/edge/include/hibiscuspick/edge/peer_messages.h
@@ -39,6 +39,10 @@
   // The instances that messages can be sent to.
   void SetPeers(const std::vector<engine::Peer>& peers);
 
+  // Whether the peer has answered all but a few messages, so that Send does not
+  // fail for that reason.
+  bool HasRoom(const InstanceId& to) const;
+
   // Sends a POST request over a connection that is kept for further ones.
   // `on_reply` is called once, in a later iteration of the loop. Fails if the
   // peer isn't known or does not answer several earlier messages.
--- a/packages/edge/include/hibiscuspick/edge/request_quarantine.h
+++ b/packages/edge/include/hibiscuspick/edge/request_quarantine.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -98,7 +99,12 @@
  private:
   void Publish(const engine::RequestFingerprint& request, bool cleared);
   void SendPending();
+  // Current reports of the requests.
+  QuarantineMessage MessageOf(
+      const std::set<engine::RequestFingerprint>& changed,
+      const std::set<engine::RequestFingerprint>& cleared) const;
   void Send(const InstanceId& to, const QuarantineMessage& message);
+  void SendUnsent(const InstanceId& to);
   void RequestAll();
   void Merge(const QuarantineMessage& message);
   bool MergeReport(const engine::QuarantineReport& report);
@@ -117,6 +123,13 @@
   std::set<engine::RequestFingerprint> pending_cleared_;
   // Reports of other instances to pass on within the data centre.
   std::vector<engine::QuarantineReport> pass_on_;
+  // For peers that had too many messages in flight.
+  struct Unsent {
+    std::set<engine::RequestFingerprint> changed;
+    std::set<engine::RequestFingerprint> cleared;
+    bool pass_on = false;
+  };
+  std::map<InstanceId, Unsent> unsent_;
   bool send_posted_ = false;
   bool has_requested_all_ = false;
   ByteBudget byte_budget_;
--- a/packages/edge/src/peer_messages.cc
+++ b/packages/edge/src/peer_messages.cc
@@ -70,10 +70,14 @@
                     [&](const auto& it) { return it->to == peer; }));
 }
 
+bool PeerMessages::HasRoom(const InstanceId& to) const {
+  return InFlightTo(to) < kMaxInFlightPerPeer;
+}
+
 void PeerMessages::Send(const InstanceId& to, std::string_view path,
                         std::string body, Millis timeout, OnReply on_reply) {
   const auto peer = peers_.find(to);
-  if (peer == peers_.end() || InFlightTo(to) >= kMaxInFlightPerPeer) {
+  if (peer == peers_.end() || !HasRoom(to)) {
     loop_->Post([on_reply = std::move(on_reply)] { on_reply(std::nullopt); });
     return;
   }
--- a/packages/edge/src/request_quarantine.cc
+++ b/packages/edge/src/request_quarantine.cc
@@ -71,6 +71,10 @@
   if (!enabled()) return;
   peers_ = peers;
   messages_.SetPeers(peers_);
+  std::erase_if(unsent_, [&](const auto& it) {
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [&](auto& peer) { return peer.id == it.first; });
+  });
   if (!has_requested_all_ && !peers_.empty()) RequestAll();
 }
 
@@ -242,24 +246,45 @@
 
 void RequestQuarantine::Send(const InstanceId& to,
                              const QuarantineMessage& message) {
+  if (!messages_.HasRoom(to)) {
+    auto& unsent = unsent_[to];
+    for (const auto& it : message.reports) {
+      (it.cleared ? unsent.changed : unsent.cleared).erase(it.request);
+      (it.cleared ? unsent.cleared : unsent.changed).insert(it.request);
+    }
+    unsent.pass_on = unsent.pass_on || message.pass_on;
+    return;
+  }
   std::string text = FormatQuarantine(message);
   if (!TakeBytes(&byte_budget_, text.size(), loop_->now())) return;
   messages_.Send(to, kPath, std::move(text), kMessageTimeout,
-                 [this](const std::optional<std::string>& reply) {
+                 [this, to](const std::optional<std::string>& reply) {
+                   SendUnsent(to);
                    if (!reply || reply->empty()) return;
                    const auto all = ParseQuarantine(*reply);
                    if (all) Merge(*all);
                  });
 }
 
-void RequestQuarantine::SendPending() {
+void RequestQuarantine::SendUnsent(const InstanceId& to) {
+  const auto node = unsent_.extract(to);
+  if (node.empty()) return;
+  const auto& unsent = node.mapped();
+  QuarantineMessage message = MessageOf(unsent.changed, unsent.cleared);
+  message.pass_on = unsent.pass_on;
+  if (!message.reports.empty()) Send(to, message);
+}
+
+QuarantineMessage RequestQuarantine::MessageOf(
+    const std::set<engine::RequestFingerprint>& changed,
+    const std::set<engine::RequestFingerprint>& cleared) const {
   QuarantineMessage message;
-  for (const auto& it : std::exchange(pending_, {})) {
+  for (const auto& it : changed) {
     const auto* record = Find(it);
     if (record == nullptr) continue;
     message.reports.push_back(engine::ReportOf(it, *record, loop_->now()));
   }
-  for (const auto& it : std::exchange(pending_cleared_, {})) {
+  for (const auto& it : cleared) {
     engine::QuarantineReport report;
     report.request = it;
     report.cleared = true;
@@ -274,6 +299,12 @@
   if (message.reports.size() > kMaxReportsSent) {
     message.reports.resize(kMaxReportsSent);
   }
+  return message;
+}
+
+void RequestQuarantine::SendPending() {
+  QuarantineMessage message = MessageOf(std::exchange(pending_, {}),
+                                        std::exchange(pending_cleared_, {}));
   QuarantineMessage passed_on;
   passed_on.reports = std::exchange(pass_on_, {});
   const bool is_large = peers_.size() > kMaxDirectPeers;
--- a/packages/edge/tests/ending_servers_fixture.h
+++ b/packages/edge/tests/ending_servers_fixture.h
@@ -22,6 +22,8 @@
   int attempts = 4;
   // Time that a server works on any request.
   int work_ms = 5;
+  // Added for each shard before.
+  int stagger_ms = 0;
   // Shards with odd indices, and instances, are in "dc-1" instead of "dc-0".
   bool two_data_centres = false;
 };
@@ -129,7 +131,8 @@
     first().AddServer(service, [this, shard](const std::string& request) {
       const auto line = request.substr(0, request.find("\r\n"));
       ScriptedReply reply;
-      reply.wait_ms = options_.work_ms;
+      reply.wait_ms =
+          options_.work_ms + options_.stagger_ms * static_cast<int>(shard);
       reply.ends = line.find(kFatal) != std::string::npos;
       if (reply.ends) return reply;
       const char it = static_cast<char>('a' + shard);
--- a/packages/edge/tests/ending_servers_test.cc
+++ b/packages/edge/tests/ending_servers_test.cc
@@ -151,12 +151,13 @@
   EndingServers servers({.instances = 2});
   servers.JoinInstances();
   servers.Send(0, kFatalFanOut);
-  const auto list = servers.instance(1).GetReadiness("/quarantine");
+  std::string list;
+  BOOST_TEST_REQUIRE(Eventually([&] {
+    list = servers.instance(1).GetReadiness("/quarantine");
+    return list.find(R"("servers_ended":20)") != std::string::npos;
+  }));
   const std::string key = R"("fingerprint":")";
-  const size_t at = list.find(key);
-  BOOST_TEST_REQUIRE(at != std::string::npos, list);
-  const auto fingerprint = list.substr(at + key.size(), 32);
-  BOOST_TEST(list.find(R"("servers_ended":20)") != std::string::npos, list);
+  const auto fingerprint = list.substr(list.find(key) + key.size(), 32);
   const auto lifted =
       servers.instance(1).GetReadiness("/quarantine/" + fingerprint, "DELETE");
   BOOST_TEST(IsServed(lifted), lifted);
