--- a/packages/edge/tests/reply_check_test.cc
+++ b/packages/edge/tests/reply_check_test.cc
@@ -115,8 +115,7 @@
   WireNames names_;
 };
 
-// Failure: whether a reply is an answer depends on its status, or on which of
-// several fields is read.
+// Failure: the status, or the first of several fields, decides whose it is.
 BOOST_DATA_TEST_CASE(RepliesAreJudgedByIdentity, bdata::make(kRows), row) {
   const Judge judge;
   for (const bool is_first : {true, false}) {
--- a/packages/edge/tests/reply_codings_test.cc
+++ b/packages/edge/tests/reply_codings_test.cc
@@ -110,8 +110,7 @@
   return end;
 }
 
-// Failure: the store's or another instance's reply is read in another framing
-// or coding than it was sent in.
+// Failure: encoded bytes of the store or of another instance are read.
 BOOST_DATA_TEST_CASE(RepliesOfUnknownCodingAreRejectedOnAllPaths,
                      bdata::make(kForms), form) {
   BOOST_TEST((EndOfExchange(form) == ExchangeEnd::kRejected));
--- a/packages/edge/tests/reply_headers_test.cc
+++ b/packages/edge/tests/reply_headers_test.cc
@@ -46,8 +46,7 @@
      "Location", 1},
 };
 
-// Failure: a header of the server's connection, or two of a header that has one
-// value, reach the caller.
+// Failure: headers of the server's connection, or one twice, reach the caller.
 BOOST_DATA_TEST_CASE(HeadersOfTheServersConnectionStayThere, bdata::make(kRows),
                      row) {
   TrafficFixture fixture;
--- a/packages/edge/tests/reply_identity_test.cc
+++ b/packages/edge/tests/reply_identity_test.cc
@@ -120,8 +120,7 @@
   BOOST_TEST(connection.second_runs() == 1);
 }
 
-// Failure: a request whose only reply names no request is answered with that
-// reply, sent once more although it may have run, or held until its deadline.
+// Failure: a reply without an id answers, repeats or holds up the request.
 BOOST_DATA_TEST_CASE(RepliesWithoutIdOnUsedConnectionsAreNoAnswers,
                      bdata::make(kLate), form) {
   ReusedConnection connection(
