--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -19,8 +19,7 @@
     "Proxy-Authenticate", "Proxy-Connection", "TE",     "Trailer",
     "Transfer-Encoding",  "Upgrade"};
 
-// Headers of replies that have one value, which recipients may take from any of
-// several.
+// Response headers that may occur only once.
 constexpr std::array<std::string_view, 11> kSingleValued = {
     "Age",   "Content-Location", "Content-Range", "Content-Type", "Date",
     "ETag",  "Expires",          "Last-Modified", "Location",     "Retry-After",
