--- a/review/standins-2/world2.py
+++ b/review/standins-2/world2.py
@@ -9,10 +9,12 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -26,6 +28,7 @@
 
 
 _reserved = []
+_worlds = []
 
 
 def free_port():
@@ -303,6 +306,7 @@
     def __init__(self, folder, zones):
         # Connections that end with the run are no news.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        _worlds.append(self)
         self.record = Record(folder)
         self.store = Store()
         self.zones = zones
@@ -334,11 +338,13 @@
             await asyncio.sleep(0.1)
 
     def close(self):
-        for it in self.tasks:
-            it.cancel()
         for it in self.daemons:
             if it.process and it.process.returncode is None:
-                it.process.kill()
+                try:
+                    os.kill(it.process.pid, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+        shutil.rmtree(self.temp, ignore_errors=True)
         self.record.write()
 
 
@@ -347,9 +353,25 @@
     if not os.path.exists(BINARY):
         print("no build of the deploy file:", BINARY)
         sys.exit(2)
-    try:
-        broken = asyncio.run(asyncio.wait_for(main(), 115))
-    except Exception as error:  # pylint: disable=broad-except
-        print("could not run:", type(error).__name__, error)
-        sys.exit(2)
-    sys.exit(1 if broken else 0)
+
+    def leave(code):
+        for it in _worlds:
+            it.close()
+        sys.stdout.flush()
+        # Tasks that are left may not end by themselves.
+        os._exit(code)
+
+    # Within the 120 s of a case, whatever hangs.
+    watchdog = threading.Timer(116, leave, [2])
+    watchdog.daemon = True
+    watchdog.start()
+
+    async def whole():
+        try:
+            broken = await asyncio.wait_for(main(), 110)
+        except Exception as error:  # pylint: disable=broad-except
+            print("could not run:", type(error).__name__, error)
+            leave(2)
+        leave(1 if broken else 0)
+
+    asyncio.run(whole())
