All connections of an address share limits of memory and descriptors

Callers saw: instances ended, out of memory, while many clients had sent chunked bodies that stop just short of their end. With few descriptors, idle clients alone kept all others out.

Cause: each message has a limit, the sum over all connections had none, neither of bytes (parts of requests, complete ones, bytes behind them, unread replies) nor of connections. Besides, sessions and streams kept the capacity of their largest buffer.

Ruled out: a limit of one message that does not hold. One client holds the same whether it sends one chunk or chunks of 64 KiB or 16 bytes, within its limits.

Change: engine::ConnectionTable decides for each listener which connections to close: over the limit of bytes those that have held the most for the longest time, for a new connection one that serves nothing. Requests in parts are answered 503 first. Complete requests get half of the limit. The limits come from the settings' new section "limits". Buffers are freed when they are empty. Memory and descriptors are one change, since both are decided by one table.

--- a/packages/base/include/hibiscuspick/base/ids.h
+++ b/packages/base/include/hibiscuspick/base/ids.h
@@ -70,6 +70,9 @@
 // A connection of this process to a backend server or another instance.
 using ChannelId = Number<struct ChannelTag>;
 
+// A connection that a client opened to this process.
+using ConnectionId = Number<struct ConnectionTag>;
+
 }  // namespace hibiscuspick
 
 template <class Tag>
--- a/packages/edge/include/hibiscuspick/edge/byte_stream.h
+++ b/packages/edge/include/hibiscuspick/edge/byte_stream.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "hibiscuspick/base/address.h"
 #include "hibiscuspick/edge/loop.h"
@@ -33,6 +34,9 @@
     // Called with received bytes, which are valid only during the call.
     std::function<void(std::string_view)> on_bytes;
     std::function<void(StreamEnd)> on_end;
+    // Called when bytes that had to wait have been passed to the kernel; may be
+    // null.
+    std::function<void()> on_progress = {};
   };
 
   explicit ByteStream(Loop* loop);
@@ -49,9 +53,17 @@
   // Starts reading. The handlers are kept until Close.
   void Start(Handlers handlers);
 
+  // Callback invoked once when the socket is closed, which is after the
+  // handlers are dropped if the stream lingers.
+  void set_on_closed(std::function<void()> it) { on_closed_ = std::move(it); }
+
   void Write(const std::string& text);
   // Whether all written bytes have been passed to the kernel.
   bool IsFlushed() const { return unsent_.empty(); }
+  // Memory held by written bytes that the kernel has not accepted yet.
+  size_t unsent_capacity() const {
+    return unsent_.empty() ? 0 : unsent_.capacity();
+  }
   // Bytes that the kernel has accepted since the connection was opened.
   size_t bytes_written() const { return bytes_written_; }
   // Whether bytes, the end of the stream or an error are waiting to be read.
@@ -74,6 +86,7 @@
   void ReadNow();
   void WaitWritable();
   void Flush();
+  void DropSent();
   void End(StreamEnd how);
   void EndWith(const std::exception& error);
   void Linger();
@@ -81,7 +94,10 @@
   Loop* const loop_;
   boost::asio::ip::tcp::socket socket_;
   Handlers handlers_;
+  std::function<void()> on_closed_;
+  // The first `sent_` bytes of it have been passed to the kernel.
   std::string unsent_;
+  size_t sent_ = 0;
   size_t bytes_written_ = 0;
   bool close_when_flushed_ = false;
   bool lingering_ = false;
--- a/packages/edge/include/hibiscuspick/edge/exchange_limits.h
+++ b/packages/edge/include/hibiscuspick/edge/exchange_limits.h
@@ -35,6 +35,11 @@
 // Of all replies that are being received from backend servers.
 inline constexpr size_t kMaxReplyMemory = 16 << 20;
 
+// What all connections of a listener held too much of.
+enum class ConnectionLimit { kConnections, kBytes };
+inline constexpr size_t kConnectionLimitCount =
+    static_cast<size_t>(ConnectionLimit::kBytes) + 1;
+
 class ExchangeCounters {
  public:
   // `registry` must outlive this object.
@@ -51,12 +56,21 @@
     defects_[static_cast<size_t>(it)]->Add();
   }
   void CountException() const { exceptions_->Add(); }
+  // Connections of clients that were closed or refused because all of them
+  // together held too much.
+  void CountClosed(ConnectionLimit it) const {
+    closed_[static_cast<size_t>(it)]->Add();
+  }
+  // A complete request that was refused for want of memory.
+  void CountOverload() const { overload_->Add(); }
 
  private:
   std::array<metrics::Counter*, kLimitedElementCount> requests_{};
   std::array<metrics::Counter*, kLimitedElementCount> replies_{};
   std::array<metrics::Counter*, kReplyDefectCount> defects_{};
+  std::array<metrics::Counter*, kConnectionLimitCount> closed_{};
   metrics::Counter* exceptions_;
+  metrics::Counter* overload_;
 };
 
 class HttpChannel;
--- a/packages/edge/include/hibiscuspick/edge/http_message.h
+++ b/packages/edge/include/hibiscuspick/edge/http_message.h
@@ -113,6 +113,8 @@
   ReadState Read(std::string* buf);
   // Whether any byte has been consumed.
   bool started() const;
+  // Memory held by the body received so far.
+  size_t body_capacity() const;
   // Whether the headers are complete and contain `Expect: 100-continue`.
   bool ExpectsContinue() const;
   // Returns the request; call once, after kDone.
--- a/packages/edge/include/hibiscuspick/edge/traffic_server.h
+++ b/packages/edge/include/hibiscuspick/edge/traffic_server.h
@@ -31,6 +31,7 @@
 #include "hibiscuspick/edge/request_quarantine.h"
 #include "hibiscuspick/edge/wire_names.h"
 #include "hibiscuspick/engine/allowance_messages.h"
+#include "hibiscuspick/engine/process_limits.h"
 #include "hibiscuspick/engine/route_latency.h"
 #include "hibiscuspick/engine/sender_shares.h"
 #include "hibiscuspick/engine/traffic_config.h"
@@ -47,6 +48,8 @@
   Address peer_queries;
   WireNames names;
   BackendsPolicy backends;
+  // What the connections of each address may hold together.
+  engine::ListenerLimits listeners;
   // Total slack in each service's budget of extra attempts, over all instances.
   double extra_slack = 0;
   // Limits on requests to a cold server beyond its service's own.
--- a/packages/edge/src/byte_stream.cc
+++ b/packages/edge/src/byte_stream.cc
@@ -35,6 +35,9 @@
 constexpr Millis kLingerTime{500};
 constexpr size_t kMaxLingerBytes = 1 << 20;
 
+// Capacity that a stream without unsent bytes may keep.
+constexpr size_t kKeptBytes = 4096;
+
 std::array<char, kReadBufferBytes>& SharedBuffer() {
   thread_local std::array<char, kReadBufferBytes> buf;
   return buf;
@@ -48,7 +51,9 @@
 // Handlers may own the stream's owner. They are destroyed in a later iteration,
 // since one of them may be running.
 void DestroyLater(Loop* loop, ByteStream::Handlers* handlers) {
-  if (!handlers->on_bytes && !handlers->on_end) return;
+  if (!handlers->on_bytes && !handlers->on_end && !handlers->on_progress) {
+    return;
+  }
   loop->Post([dropped = std::make_shared<ByteStream::Handlers>(
                   std::exchange(*handlers, ByteStream::Handlers()))] {});
 }
@@ -184,14 +189,16 @@
 
 void ByteStream::Flush() {
   Code ec;
-  const size_t n = socket_.write_some(asio::buffer(unsent_), ec);
+  const size_t n = socket_.write_some(
+      asio::buffer(unsent_.data() + sent_, unsent_.size() - sent_), ec);
   if (ec && ec != asio::error::would_block) {
     // Posted so that on_end is not called from within Write.
     loop_->Post([self = shared_from_this()] { self->End(StreamEnd::kBroken); });
     return;
   }
   bytes_written_ += ec ? 0 : n;
-  unsent_.erase(0, ec ? 0 : n);
+  sent_ += ec ? 0 : n;
+  DropSent();
   if (!unsent_.empty()) {
     WaitWritable();
   } else if (close_when_flushed_) {
@@ -199,10 +206,29 @@
   }
 }
 
+// Moves the rest only when most has been sent, so that a peer that reads a
+// large reply in small steps doesn't have it moved at each of them.
+void ByteStream::DropSent() {
+  if (sent_ == unsent_.size()) {
+    unsent_.clear();
+    if (unsent_.capacity() > kKeptBytes) unsent_.shrink_to_fit();
+  } else if (sent_ > unsent_.size() / 2) {
+    unsent_.erase(0, sent_);
+    unsent_.shrink_to_fit();
+  } else {
+    return;
+  }
+  sent_ = 0;
+}
+
 void ByteStream::WaitWritable() {
   socket_.async_wait(tcp::socket::wait_write,
                      [self = shared_from_this()](Code ec) {
-                       if (!ec && self->IsOpen()) self->Flush();
+                       if (ec || !self->IsOpen()) return;
+                       // Copied because Flush may drop the handlers.
+                       const auto on_progress = self->handlers_.on_progress;
+                       self->Flush();
+                       if (on_progress) on_progress();
                      });
 }
 
@@ -219,6 +245,7 @@
   Code ec;
   socket_.close(ec);
   DestroyLater(loop_, &handlers_);
+  if (const auto on_closed = std::exchange(on_closed_, nullptr)) on_closed();
 }
 
 void ByteStream::CloseWhenFlushed() {
--- a/packages/edge/src/exchange_limits.cc
+++ b/packages/edge/src/exchange_limits.cc
@@ -10,6 +10,10 @@
 constexpr std::array<std::string_view, kLimitedElementCount> kElementNames = {
     "headers", "body", "framing", "extra_replies", "reply_memory"};
 
+// In the order of ConnectionLimit.
+constexpr std::array<std::string_view, kConnectionLimitCount>
+    kConnectionLimitNames = {"connections", "bytes"};
+
 // Replies below this are not recorded, so that the usual ones cost nothing.
 constexpr size_t kMinRecordedBytes = 32768;
 
@@ -28,7 +32,17 @@
 ExchangeCounters::ExchangeCounters(metrics::Registry* registry)
     : exceptions_(&registry->GetCounter(
           "hibiscuspick_edge_exchange_exceptions_total",
-          "Connections that were closed because of an exception")) {
+          "Connections that were closed because of an exception")),
+      overload_(&registry->GetCounter(
+          "hibiscuspick_edge_overload_refusals_total",
+          "Requests that were refused for want of memory")) {
+  for (size_t i = 0; i < kConnectionLimitCount; ++i) {
+    closed_[i] = &registry->GetCounter(
+        "hibiscuspick_edge_closed_connections_total",
+        "Connections of clients that were closed because all of them together "
+        "held too much, by what they held",
+        {{"limit", std::string(kConnectionLimitNames[i])}});
+  }
   for (size_t i = 0; i < kLimitedElementCount; ++i) {
     const metrics::Labels labels = {{"element", std::string(kElementNames[i])}};
     requests_[i] = &registry->GetCounter(
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -238,6 +238,11 @@
 
 bool RequestReader::started() const { return impl_->started; }
 
+size_t RequestReader::body_capacity() const {
+  const auto& body = impl_->parser().get().body();
+  return body.capacity() > std::string().capacity() ? body.capacity() : 0;
+}
+
 bool RequestReader::ExpectsContinue() const {
   const auto& parser = impl_->parser();
   if (!parser.is_header_done() || parser.is_done()) return false;
--- a/packages/edge/src/http_session.cc
+++ b/packages/edge/src/http_session.cc
@@ -4,7 +4,9 @@
 #include <utility>
 #include <vector>
 
+#include "hibiscuspick/base/log.h"
 #include "hibiscuspick/edge/exchange_limits.h"
+#include "hibiscuspick/engine/refusal.h"
 
 namespace hibiscuspick::edge {
 namespace {
@@ -21,23 +23,71 @@
 // Delay before the next accept after a failure, such as no free descriptors.
 constexpr Millis kAcceptRetryDelay{50};
 
+// Capacity that a session without received bytes may keep.
+constexpr size_t kKeptBytes = 4096;
+
+// The largest messages that the connections of a listener may hold at once,
+// however small its share of the memory is.
+constexpr size_t kMessagesThatFit = 4;
+
+// A request's body is held by the query and by the attempt that is being sent.
+constexpr size_t kCopiesOfBody = 2;
+
+constexpr int kOverloadStatus = 503;
+
+// Enough for the load balancer to send the retry to another instance.
+constexpr Millis kOverloadRetryAfter{50};
+
+// Nothing of the request has run, and nothing will.
+HttpReply OverloadReply(int status) {
+  HttpReply reply;
+  reply.status = status;
+  reply.headers.push_back(
+      {"Retry-After", engine::InSeconds(kOverloadRetryAfter)});
+  reply.body = R"({"error":"overloaded"})";
+  return reply;
+}
+
 }  // namespace
 
-HttpSession::HttpSession(Loop* loop, tcp::socket socket,
-                         const SessionPolicy* policy,
-                         std::function<void()> on_end)
-    : loop_(loop),
+void ReplyOverloaded(HttpSession* session, int status) {
+  session->Reply(OverloadReply(status));
+}
+
+HttpSession::HttpSession(ConnectionId id, Loop* loop, tcp::socket socket,
+                         const SessionPolicy* policy, HttpListener* listener)
+    : id_(id),
+      loop_(loop),
       policy_(policy),
-      on_end_(std::move(on_end)),
+      listener_(listener),
       stream_(std::make_shared<ByteStream>(loop, std::move(socket))) {}
 
 void HttpSession::Start() {
   auto self = shared_from_this();
+  stream_->set_on_closed([self] {
+    auto* listener = std::exchange(self->listener_, nullptr);
+    if (listener != nullptr) listener->OnClosed(self->id_);
+  });
   stream_->Start({[self](auto bytes) { self->OnBytes(bytes); },
-                  [self](auto) { self->OnEnd(); }});
+                  [self](auto) { self->OnEnd(); },
+                  [self] {
+                    self->ReportBuffered();
+                    self->CloseForBytes();
+                  }});
   StartIdleTimer();
 }
 
+void HttpSession::Enter(engine::ConnectionPhase phase) {
+  if (listener_) listener_->table_.SetPhase(id_, phase, loop_->now());
+}
+
+void HttpSession::ReportBuffered() {
+  if (!listener_) return;
+  const size_t received = buffer_.empty() ? 0 : buffer_.capacity();
+  const size_t body = reader_ ? reader_->body_capacity() : 0;
+  listener_->SetBuffered(id_, received + body + stream_->unsent_capacity());
+}
+
 void HttpSession::StartIdleTimer() {
   loop_->Cancel(timer_);
   timer_ = loop_->RunAt(loop_->now() + policy_->limits().idle_timeout,
@@ -54,13 +104,21 @@
   End();
 }
 
+// Only where no query is calling, since it ends those of other sessions.
+void HttpSession::CloseForBytes() {
+  if (listener_) listener_->CloseForBytes();
+}
+
 void HttpSession::OnBytes(std::string_view bytes) {
+  if (ended_) return;
   buffer_.append(bytes);
-  if (busy_) {
-    if (buffer_.size() > kMaxPipelinedBytes) OnEnd();
-    return;
+  if (!busy_) {
+    ReadRequest();
+  } else if (buffer_.size() > kMaxPipelinedBytes) {
+    OnEnd();
   }
-  ReadRequest();
+  ReportBuffered();
+  CloseForBytes();
 }
 
 void HttpSession::ReadRequest() {
@@ -70,11 +128,17 @@
     reader_ = std::make_unique<RequestReader>(
         MessageLimits{limits.header_bytes, limits.body_bytes});
     sent_continue_ = false;
+    // The first request counts from the connection's beginning.
+    if (!is_first_request_) Enter(engine::ConnectionPhase::kReceiving);
     loop_->Cancel(timer_);
     timer_ = loop_->RunAt(loop_->now() + limits.header_timeout,
                           [self = shared_from_this()] { self->OnTimer(); });
   }
   const ReadState state = reader_->Read(&buffer_);
+  const size_t capacity = buffer_.capacity();
+  if (capacity > kKeptBytes && buffer_.size() < capacity / 4) {
+    buffer_.shrink_to_fit();
+  }
   if (state == ReadState::kMore) {
     if (!sent_continue_ && reader_->ExpectsContinue()) {
       sent_continue_ = true;
@@ -98,7 +162,16 @@
   busy_ = true;
   is_head_ = request.method == "HEAD";
   keep_alive_ = request.keep_alive;
-  policy_->on_request(shared_from_this(), std::move(request));
+  if (!listener_ || listener_->Admit(id_, request)) {
+    policy_->on_request(shared_from_this(), std::move(request));
+    return;
+  }
+  if (const auto* it = loop_->exchange_counters()) it->CountOverload();
+  if (policy_->on_overload) {
+    policy_->on_overload(shared_from_this(), std::move(request));
+  } else {
+    ReplyOverloaded(this, kOverloadStatus);
+  }
 }
 
 // Answers a malformed, oversized or incomplete request and closes the
@@ -128,11 +201,16 @@
     End();
     return;
   }
+  Enter(engine::ConnectionPhase::kIdle);
+  ReportBuffered();
   StartIdleTimer();
   if (!buffer_.empty()) {
     // Posted, so that a long series of pipelined requests does not recurse.
     loop_->Post([self = shared_from_this()] {
-      if (!self->busy_ && self->stream_->IsOpen()) self->ReadRequest();
+      if (self->busy_ || !self->stream_->IsOpen()) return;
+      self->ReadRequest();
+      self->ReportBuffered();
+      self->CloseForBytes();
     });
   }
 }
@@ -146,26 +224,43 @@
 void HttpSession::Abort() {
   loop_->Cancel(std::exchange(timer_, 0));
   on_disconnect_ = nullptr;
-  on_end_ = nullptr;
+  listener_ = nullptr;
   stream_->Close();
 }
 
 void HttpSession::CloseIfIdle() {
-  if (!busy_ && !(reader_ && reader_->started()) && buffer_.empty()) End();
+  if (!busy_ && !HasPartOfRequest()) End();
+}
+
+void HttpSession::Evict(bool answer) {
+  if (!ended_ && HasPartOfRequest() && stream_->IsFlushed()) {
+    stream_->Write(ToText(OverloadReply(kOverloadStatus), true, false));
+    if (answer) {
+      End();
+      return;
+    }
+  }
+  OnEnd();
+  stream_->Close();
 }
 
 void HttpSession::End() {
+  if (std::exchange(ended_, true)) return;
   loop_->Cancel(std::exchange(timer_, 0));
   on_disconnect_ = nullptr;
+  reader_.reset();
+  std::string().swap(buffer_);
+  Enter(engine::ConnectionPhase::kClosing);
   stream_->CloseWhenFlushed();
-  if (on_end_) std::exchange(on_end_, nullptr)();
+  ReportBuffered();
 }
 
 HttpListener::HttpListener(Loop* loop, SessionPolicy policy)
     : loop_(loop), policy_(std::move(policy)), acceptor_(loop->io()) {}
 
 HttpListener::~HttpListener() {
-  for (const auto& it : sessions_) it->Abort();
+  loop_->Cancel(close_timer_);
+  for (const auto& [id, it] : sessions_) it->Abort();
 }
 
 Result<Done> HttpListener::Listen(const Address& address) {
@@ -194,18 +289,96 @@
 }
 
 void HttpListener::StartSession(tcp::socket socket) {
-  // Weak reference: a strong one in its own callback would keep the session
-  // alive.
-  auto weak_session = std::make_shared<std::weak_ptr<HttpSession>>();
-  auto session = std::make_shared<HttpSession>(
-      loop_, std::move(socket), &policy_, [this, weak_session] {
-        if (const auto it = weak_session->lock()) sessions_.erase(it);
-      });
-  *weak_session = session;
-  sessions_.insert(session);
+  if (!MakeRoom()) {
+    RefuseConnection(&socket);
+    return;
+  }
+  const ConnectionId id(++last_id_);
+  auto session = std::make_shared<HttpSession>(id, loop_, std::move(socket),
+                                               &policy_, this);
+  sessions_.emplace(id, session);
+  table_.Add(id, loop_->now());
   session->Start();
 }
 
+// Closes connections until there is room for another; false if all that are
+// left serve requests.
+bool HttpListener::MakeRoom() {
+  while (table_.IsFull()) {
+    const auto id = table_.ToCloseForNew();
+    if (!id) return false;
+    if (const auto* it = loop_->exchange_counters()) {
+      it->CountClosed(ConnectionLimit::kConnections);
+    }
+    const auto session = sessions_.at(*id);
+    session->Evict(false);
+  }
+  return true;
+}
+
+// All connections serve requests, so that the client is better off elsewhere.
+void HttpListener::RefuseConnection(tcp::socket* socket) {
+  if (const auto* it = loop_->exchange_counters()) {
+    it->CountClosed(ConnectionLimit::kConnections);
+  }
+  boost::system::error_code ec;
+  socket->non_blocking(true, ec);
+  const auto text = ToText(OverloadReply(kOverloadStatus), true, false);
+  (void)socket->write_some(asio::buffer(text), ec);
+  socket->close(ec);
+}
+
+void HttpListener::OnClosed(ConnectionId id) {
+  table_.Remove(id);
+  sessions_.erase(id);
+}
+
+void HttpListener::EnsureMessagesFit() {
+  const auto limits = policy_.limits();
+  table_.EnsureFits(kMessagesThatFit *
+                    (limits.header_bytes + limits.body_bytes));
+}
+
+void HttpListener::SetBuffered(ConnectionId id, size_t bytes) {
+  table_.SetBuffered(id, bytes);
+  if (!table_.IsOverBytes() || close_timer_ != 0) return;
+  close_timer_ = loop_->RunAt(loop_->now(), [this] {
+    close_timer_ = 0;
+    CloseForBytes();
+  });
+}
+
+void HttpListener::CloseForBytes() {
+  if (!table_.IsOverBytes()) return;
+  EnsureMessagesFit();
+  const auto closed = table_.ToCloseForBytes(loop_->now());
+  if (!closed.empty() && TakeLine(&log_lines_, loop_->now())) {
+    Log(Part::kFront)
+        .warn("{} of {} connections closed: they hold {} bytes, {} allowed",
+              closed.size(), table_.size(), table_.bytes(),
+              table_.limits().bytes);
+    log_lines_.left_out = 0;
+  }
+  for (const ConnectionId id : closed) {
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) continue;
+    if (const auto* it = loop_->exchange_counters()) {
+      it->CountClosed(ConnectionLimit::kBytes);
+    }
+    const auto session = found->second;
+    session->Evict(true);
+  }
+}
+
+bool HttpListener::Admit(ConnectionId id, const HttpRequest& request) {
+  EnsureMessagesFit();
+  size_t bytes = request.target.size() + kCopiesOfBody * request.body.size();
+  for (const auto& it : request.headers) {
+    bytes += it.name.size() + it.value.size();
+  }
+  return table_.Admit(id, bytes, loop_->now());
+}
+
 // Accepts connections from the listen queue first, since closing the listener
 // would reset them together with the requests already sent.
 void HttpListener::StopAccepting() {
@@ -222,15 +395,15 @@
 }
 
 void HttpListener::CloseIdle() {
-  const std::vector<std::shared_ptr<HttpSession>> all(sessions_.begin(),
-                                                      sessions_.end());
+  std::vector<std::shared_ptr<HttpSession>> all;
+  for (const auto& [id, it] : sessions_) all.push_back(it);
   for (const auto& it : all) it->CloseIfIdle();
 }
 
 size_t HttpListener::busy_sessions() const {
   return static_cast<size_t>(
       std::count_if(sessions_.begin(), sessions_.end(),
-                    [](auto& it) { return it->IsBusy(); }));
+                    [](auto& it) { return it.second->IsBusy(); }));
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/traffic_gauges.cc
+++ b/packages/edge/src/traffic_gauges.cc
@@ -1,7 +1,25 @@
-// Gauges of the traffic server's state.
+// Gauges of the traffic server's state, and the loop's lag.
+#include <utility>
+
 #include "hibiscuspick/edge/traffic_server.h"
 
 namespace hibiscuspick::edge {
+namespace {
+
+// Interval at which the loop's lag is measured; a wake-up costs some
+// microseconds.
+constexpr Millis kLoopLagInterval{500};
+
+}  // namespace
+
+void TrafficServer::MeasureLoopLag() {
+  const Millis due = SteadyNow() + kLoopLagInterval;
+  loop_->RunAt(due, [this, due] {
+    metrics_.ObserveLoopLag(SteadyNow() - due);
+    peers_.set_own_utilisation(loop_->TakeUtilisation());
+    MeasureLoopLag();
+  });
+}
 
 void TrafficServer::AddGauges() {
   auto* registry = metrics_.registry();
@@ -22,6 +40,18 @@
   registry->AddGauge(
       "hibiscuspick_edge_attempts_open", "Attempts at servers without a reply",
       {}, [this] { return static_cast<double>(backends_.open_attempts()); });
+  for (const auto& [name, listener] :
+       {std::pair{"callers", &callers_}, std::pair{"queries", &peer_queries_},
+        std::pair{"readiness", &readiness_}}) {
+    registry->AddGauge(
+        "hibiscuspick_edge_connections",
+        "Open connections of clients, by address", {{"address", name}},
+        [it = listener] { return static_cast<double>(it->table().size()); });
+    registry->AddGauge(
+        "hibiscuspick_edge_connection_bytes",
+        "Bytes of requests and replies that they hold", {{"address", name}},
+        [it = listener] { return static_cast<double>(it->table().bytes()); });
+  }
 }
 
 }  // namespace hibiscuspick::edge
--- a/packages/edge/src/traffic_server.cc
+++ b/packages/edge/src/traffic_server.cc
@@ -22,10 +22,6 @@
 
 constexpr Millis kStopCheckInterval{50};
 
-// Interval at which the loop's lag is measured; a wake-up costs some
-// microseconds.
-constexpr Millis kLoopLagInterval{500};
-
 constexpr int kUnauthorizedStatus = 401;
 
 // How long a peer's report of a cut is used; the peer repeats it in each state
@@ -89,6 +85,9 @@
   policy.on_request = [this](const auto& session, HttpRequest&& request) {
     OnRequest(session, std::move(request));
   };
+  policy.on_overload = [this](const auto& session, const HttpRequest& request) {
+    Refuse(session.get(), request, 503, "overloaded");
+  };
   policy.closing = [this] { return stopping_ || unable_to_serve_; };
   return policy;
 }
@@ -133,6 +132,9 @@
   policy.on_request = [this](const auto& session, const HttpRequest& request) {
     OnForwardedQuery(session, request);
   };
+  policy.on_overload = [](const auto& session, const HttpRequest&) {
+    ReplyOverloaded(session.get(), kServersUnreachableStatus);
+  };
   policy.closing = [this] { return stopping_; };
   return policy;
 }
@@ -181,6 +183,9 @@
   }
   MeasureLoopLag();
   AddGauges();
+  callers_.set_limits(settings_.listeners.callers);
+  peer_queries_.set_limits(settings_.listeners.peer_queries);
+  readiness_.set_limits(settings_.listeners.readiness);
   auto listened = callers_.Listen(settings_.callers);
   if (!IsOk(listened)) return listened;
   if (settings_.peer_queries.port != 0) {
@@ -190,15 +195,6 @@
   return readiness_.Listen(settings_.readiness);
 }
 
-void TrafficServer::MeasureLoopLag() {
-  const Millis due = SteadyNow() + kLoopLagInterval;
-  loop_->RunAt(due, [this, due] {
-    metrics_.ObserveLoopLag(SteadyNow() - due);
-    peers_.set_own_utilisation(loop_->TakeUtilisation());
-    MeasureLoopLag();
-  });
-}
-
 void TrafficServer::SetConfig(
     std::shared_ptr<const engine::TrafficConfig> config) {
   if (config_ && config->version < config_->version) {
--- a/packages/settings/include/hibiscuspick/settings/edge_settings.h
+++ b/packages/settings/include/hibiscuspick/settings/edge_settings.h
@@ -28,6 +28,11 @@
   // CPU share of the process, in cores.
   double cpu_cores = 1;
 
+  // What the process may use: memory, and descriptors if the limit of the
+  // process is not lower.
+  double memory_mb = 256;
+  double descriptors = 4096;
+
   // The fleet's limit on extra attempts (hedges and retries) of a service in
   // any window: `extra_ratio` of the service's requests, plus `extra_slack`.
   double extra_ratio = 0.2;
--- a/packages/settings/src/edge_settings.cc
+++ b/packages/settings/src/edge_settings.cc
@@ -40,6 +40,18 @@
   reader.RejectUnknownKeys();
 }
 
+void ReadLimits(JsonReader* edge, EdgeSettings* out,
+                std::vector<Fault>* faults) {
+  JsonReader reader(Section(edge, "limits"), "$.edge.limits", faults);
+  constexpr double kMaxMemoryMb = 1e6;
+  constexpr double kMaxDescriptors = 1e7;
+  out->memory_mb =
+      ReadFraction(&reader, "memory_mb", kMaxMemoryMb, out->memory_mb);
+  out->descriptors =
+      ReadFraction(&reader, "descriptors", kMaxDescriptors, out->descriptors);
+  reader.RejectUnknownKeys();
+}
+
 void ReadCold(JsonReader* edge, EdgeSettings* out, std::vector<Fault>* faults) {
   JsonReader reader(Section(edge, "cold_servers"), "$.edge.cold_servers",
                     faults);
@@ -112,6 +124,7 @@
   constexpr double kMaxCores = 1024;
   out->cpu_cores =
       ReadFraction(&reader, "processor", kMaxCores, out->cpu_cores);
+  ReadLimits(&reader, out, faults);
   ReadExtra(&reader, out, faults);
   ReadCold(&reader, out, faults);
   ReadAllowances(&reader, out, faults);
--- a/packages/settings/tests/edge_settings_test.cc
+++ b/packages/settings/tests/edge_settings_test.cc
@@ -16,6 +16,7 @@
   return Json::parse(R"({"instance": "a-1", "data_centre": "a", "edge": {
     "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "store": "10.0.0.2:3",
     "news": "10.0.0.1:4", "queries": "10.0.0.1:5", "processor": 0.25,
+    "limits": {"memory_mb": 260, "descriptors": 4100},
     "extra_attempts": {"ratio": 0.2, "window_ms": 10000, "slack": 52},
     "cold_servers": {"overage": 1.5, "slack": 5},
     "allowances": {"window_ms": 2.5e3, "overage": 0.1, "slack": 20},
@@ -28,6 +29,8 @@
   BOOST_TEST_REQUIRE(IsValid(checked));
   const auto& settings = ValidValue(checked);
   BOOST_TEST(settings.cpu_cores == 0.25);
+  BOOST_TEST(settings.memory_mb == 260);
+  BOOST_TEST(settings.descriptors == 4100);
   BOOST_TEST(settings.extra_slack == 52);
   BOOST_TEST(settings.extra_window.count == 10000);
   BOOST_TEST(ToText(settings.updates) == "10.0.0.1:4");
