--- a/packages/edge/include/hibiscuspick/edge/reply_check.h
+++ b/packages/edge/include/hibiscuspick/edge/reply_check.h
@@ -30,9 +30,11 @@
   kNoStamp,
   // A success that claims not to have run.
   kNotRunSuccess,
+  // A status outside of 100 to 599, or 101, which no request asks for.
+  kInvalidStatus,
 };
 inline constexpr size_t kReplyDefectCount =
-    static_cast<size_t>(ReplyDefect::kNotRunSuccess) + 1;
+    static_cast<size_t>(ReplyDefect::kInvalidStatus) + 1;
 std::string_view DefectName(ReplyDefect defect);
 
 enum class ReplyUse {
@@ -60,6 +62,8 @@
 };
 
 bool IsSuccess(int status);
+// Whether the final reply follows (RFC 9110, 15.2).
+bool IsInterim(int status);
 
 // Judges a complete, final reply. `is_first`: no other reply can arrive on the
 // connection, since nothing was sent on it before this request.
--- a/packages/edge/src/http_channel.cc
+++ b/packages/edge/src/http_channel.cc
@@ -7,8 +7,6 @@
 namespace hibiscuspick::edge {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
-
 std::atomic<uint64_t> last_channel_id{0};
 
 }  // namespace
@@ -90,8 +88,8 @@
       break;
   }
   HttpReply reply = reader_->Take();
-  const bool interim = reply.status < kFirstFinalStatus;
-  const ReplyUse use = interim ? ReplyUse::kSkip : Judge(reply).use;
+  const ReplyUse use =
+      IsInterim(reply.status) ? ReplyUse::kSkip : Judge(reply).use;
   if (use == ReplyUse::kSkip) {
     ++extra_replies_;
     reader_ = MakeReader();
--- a/packages/edge/src/reply_check.cc
+++ b/packages/edge/src/reply_check.cc
@@ -10,10 +10,14 @@
 constexpr std::array<std::string_view, kReplyDefectCount> kDefectNames = {
     "none",           "syntax",        "framing",
     "repeated_field", "no_request_id", "other_request_id",
-    "content_coding", "no_stamp",      "not_run_success"};
+    "content_coding", "no_stamp",      "not_run_success",
+    "invalid_status"};
 
+constexpr int kSwitchingProtocolsStatus = 101;
 constexpr int kMisdirectedStatus = 421;
 
+bool IsValidFinalStatus(int status) { return status >= 200 && status < 600; }
+
 struct Field {
   int count = 0;
   std::string_view value;
@@ -59,10 +63,17 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+bool IsInterim(int status) {
+  return status >= 100 && status < 200 && status != kSwitchingProtocolsStatus;
+}
+
 ReplyVerdict JudgeReply(const HttpReply& reply,
                         const ReplyExpectation& expectation, bool is_first) {
   const bool is_encoded = HasHeader(reply, "Content-Encoding");
   if (expectation.names == nullptr) {
+    if (!IsValidFinalStatus(reply.status)) {
+      return Reject(ReplyDefect::kInvalidStatus);
+    }
     return is_encoded ? Reject(ReplyDefect::kContentCoding) : ReplyVerdict{};
   }
   const auto fields = FieldsOf(reply, *expectation.names);
@@ -74,6 +85,9 @@
   if (id.empty() && !is_first) {
     return {ReplyUse::kSkip, ReplyDefect::kNoRequestId};
   }
+  if (!IsValidFinalStatus(reply.status)) {
+    return Reject(ReplyDefect::kInvalidStatus);
+  }
   if (fields.stamp.count > 1 || fields.not_run.count > 1) {
     return Reject(ReplyDefect::kRepeatedField);
   }
--- a/packages/edge/tests/reply_check_test.cc
+++ b/packages/edge/tests/reply_check_test.cc
@@ -84,6 +84,13 @@
            Reject(ReplyDefect::kNoStamp)),
     Always("success that has not run", 200, {kId, kStamp, kNotRun},
            Reject(ReplyDefect::kNotRunSuccess)),
+    Always("another's reply with an invalid status", 700, {kOther}, kSkipOther),
+    Always("an invalid status", 0, {kId, kStamp},
+           Reject(ReplyDefect::kInvalidStatus)),
+    Always("an invalid status that has not run", 600, {kId, kNotRun},
+           Reject(ReplyDefect::kInvalidStatus)),
+    Unnamed("an invalid status without an id", 99, {},
+            Reject(ReplyDefect::kInvalidStatus)),
     Unnamed("success without an id", 200, {kStamp},
             Reject(ReplyDefect::kNoRequestId)),
     Unnamed("failure without an id", 500, {kStamp},
@@ -96,6 +103,14 @@
             Reject(ReplyDefect::kNoRequestId)),
 };
 
+// Failure: an invalid status of a peer or the store is taken as an answer.
+BOOST_DATA_TEST_CASE(InvalidStatusesAreRejectedWithoutNames,
+                     bdata::make({0, 1, 99, 101, 600, 999}), status) {
+  HttpReply reply;
+  reply.status = status;
+  BOOST_TEST(JudgeReply(reply, {}, true).use == ReplyUse::kReject);
+}
+
 class Judge {
  public:
   Judge() {
--- a/packages/edge/tests/reply_identity_test.cc
+++ b/packages/edge/tests/reply_identity_test.cc
@@ -54,6 +54,30 @@
   CheckIsNoAnswer(form, kind);
 }
 
+std::string Named(const std::string& status) {
+  return Reply(status, std::string("Q-Id: $\r\n") + kStamp);
+}
+
+const ReplyForm kInvalidStatuses[] = {
+    {"000", Named("000 X")},
+    {"001", Named("001 X")},
+    {"099", Named("099 X")},
+    {"101", Named("101 Switching")},
+    {"600", Named("600 X")},
+    {"700", Named("700 X")},
+    {"999", Named("999 X")},
+    {"000 without a reason", Named("000")},
+    {"000 without an id", Reply("000 X", kStamp)},
+};
+
+// Failure: a reply with a status that HTTP doesn't define is passed on, or the
+// caller waits for another reply until the deadline.
+BOOST_DATA_TEST_CASE(RepliesWithInvalidStatusesAreNoAnswers,
+                     bdata::make(kInvalidStatuses) * bdata::make(kKinds), form,
+                     kind) {
+  CheckIsNoAnswer(form, kind);
+}
+
 // Failure: a damaged reply is taken as a success that its bytes are not.
 BOOST_DATA_TEST_CASE(DamagedIdentityFormsAreNoWrongSuccesses,
                      bdata::make(kForms), form) {
