--- a/packages/edge/tests/connection_limits_test.cc
+++ b/packages/edge/tests/connection_limits_test.cc
@@ -69,8 +69,7 @@
          std::string(kBodyBytes - 1, 'a');
 }
 
-// Failure: parts of requests are kept without a common limit, or their clients
-// aren't told that nothing ran.
+// Failure: parts of requests are kept without a common limit.
 BOOST_AUTO_TEST_CASE(PartsOfRequestsAreRefusedOverTheLimit) {
   ListenerFixture fixture({1000, 1 << 20});
   std::vector<RawClient*> crowd;
@@ -85,8 +84,7 @@
   BOOST_TEST(HeaderValue(reply, "Connection") == "close");
 }
 
-// Failure: idle connections keep new ones out, or the ones in use are closed
-// before the unused ones.
+// Failure: idle connections keep new ones out, or used ones are closed first.
 BOOST_AUTO_TEST_CASE(NewConnectionsReplaceUnusedOnes) {
   ListenerFixture fixture({4, 1 << 20});
   auto& kept = fixture.Connect();
--- a/packages/edge/tests/reply_identity_test.cc
+++ b/packages/edge/tests/reply_identity_test.cc
@@ -70,8 +70,7 @@
     {"000 without an id", Reply("000 X", kStamp)},
 };
 
-// Failure: a reply with a status that HTTP doesn't define is passed on, or the
-// caller waits for another reply until the deadline.
+// Failure: a status that HTTP doesn't define is passed on, or waited out.
 BOOST_DATA_TEST_CASE(RepliesWithInvalidStatusesAreNoAnswers,
                      bdata::make(kInvalidStatuses) * bdata::make(kKinds), form,
                      kind) {
